--- /dev/null
+++ b/arbiter/arbiter.go
@@ -0,0 +1,283 @@
+// Package arbiter is the replicated state of the source: it decides races between edits, remembers their outcomes and
+// keeps the history and the placement of claim groups. Equal logs give equal states.
+package arbiter
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/differ"
+	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	// OutcomeWindow is how long the outcome of an edit is remembered.
+	OutcomeWindow = 24 * tiller.Hour
+	// MaxOutcomes bounds the remembered outcomes.
+	MaxOutcomes = 20_000
+	// MaxHistory bounds the history of accepted versions.
+	MaxHistory = 500
+	// MaxEditIDBytes bounds an edit id.
+	MaxEditIDBytes = 64
+
+	maxChangedPaths = 32
+)
+
+// State is the replicated state at one index of the log.
+type State struct {
+	generation uint64
+	version    tiller.Version
+	items      []*wire.Item
+	outcomes   map[string]*wire.Outcome
+	order      []string
+	history    []*wire.HistoryEntry
+	placements *wire.ClaimPlacements
+	now        tiller.Millis
+}
+
+// New returns the state before the first edit of a generation.
+func New(generation uint64) *State {
+	return &State{generation: generation, outcomes: map[string]*wire.Outcome{}, placements: &wire.ClaimPlacements{}}
+}
+
+// NewAt returns the state of a generation that starts from a recovered document.
+func NewAt(version tiller.Version, items []*wire.Item, placements *wire.ClaimPlacements) *State {
+	s := New(version.Generation())
+	s.version = version
+	s.items = items
+
+	if placements != nil {
+		s.placements = placements
+	}
+
+	return s
+}
+
+// Apply applies a committed command and returns the outcome of an edit, nil for other commands.
+func (s *State) Apply(index uint64, command *wire.Command) *wire.Outcome {
+	s.now = max(s.now, tiller.Millis(command.GetAt()))
+
+	switch c := command.GetChange().(type) {
+	case *wire.Command_Edit:
+		return s.edit(index, c.Edit)
+	case *wire.Command_ClaimPlacement:
+		s.place(c.ClaimPlacement)
+	default:
+	}
+
+	return nil
+}
+
+// edit accepts an edit whose base is the version in force; a repeated edit id returns the first outcome.
+func (s *State) edit(index uint64, e *wire.Edit) *wire.Outcome {
+	s.expire()
+
+	if first, ok := s.outcomes[e.GetId()]; ok {
+		return first
+	}
+
+	o := &wire.Outcome{EditId: e.GetId(), At: int64(s.now), Author: e.GetAuthor(), RequestHash: RequestHash(e)}
+	if s.accepts(e) {
+		s.accept(index, e)
+		o.Accepted = true
+	} else {
+		o.Conflict = true
+	}
+
+	o.Version = s.version.Wire()
+	s.outcomes[e.GetId()] = o
+	s.order = append(s.order, e.GetId())
+
+	return o
+}
+
+func (s *State) accepts(e *wire.Edit) bool {
+	base := tiller.VersionOf(e.GetBase())
+
+	return base.Compare(s.version) == 0 && base.SameContent(s.version)
+}
+
+func (s *State) accept(index uint64, e *wire.Edit) {
+	upserts, removes := differ.Between(s.items, e.GetItems())
+	s.items = e.GetItems()
+	s.version = tiller.NewVersion(s.generation, index, encoder.Hash(s.items))
+
+	changed := slices.Clone(removes)
+	for _, item := range upserts {
+		changed = append(changed, item.GetPath())
+	}
+
+	slices.Sort(changed)
+	s.history = append(s.history, &wire.HistoryEntry{
+		Version: s.version.Wire(), EditId: e.GetId(), Author: e.GetAuthor(), Reason: e.GetReason(),
+		At: int64(s.now), Changed: changed[:min(len(changed), maxChangedPaths)],
+	})
+
+	if len(s.history) > MaxHistory {
+		s.history = s.history[len(s.history)-MaxHistory:]
+	}
+}
+
+func (s *State) expire() {
+	for len(s.order) > 0 {
+		first := s.outcomes[s.order[0]]
+		if len(s.order) <= MaxOutcomes && tiller.Millis(first.GetAt())+OutcomeWindow > s.now {
+			return
+		}
+
+		delete(s.outcomes, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// place takes a claim group whose epoch follows the one in force.
+func (s *State) place(p *wire.ClaimPlacement) {
+	for i, old := range s.placements.GetPlacements() {
+		if old.GetDataCentre() != p.GetDataCentre() {
+			continue
+		}
+
+		if p.GetEpoch() == old.GetEpoch()+1 {
+			s.replacePlacement(i, p)
+		}
+
+		return
+	}
+
+	if p.GetEpoch() == 1 {
+		s.replacePlacement(-1, p)
+	}
+}
+
+// replacePlacement copies the list, since older copies may be on their way to nodes.
+func (s *State) replacePlacement(i int, p *wire.ClaimPlacement) {
+	list := slices.Clone(s.placements.GetPlacements())
+	if i < 0 {
+		list = append(list, p)
+	} else {
+		list[i] = p
+	}
+
+	s.placements = &wire.ClaimPlacements{Revision: s.placements.GetRevision() + 1, Placements: list}
+}
+
+// Outcome returns the remembered outcome of an edit.
+func (s *State) Outcome(id string) (*wire.Outcome, bool) {
+	o, ok := s.outcomes[id]
+
+	return o, ok
+}
+
+// Version returns the version in force.
+func (s *State) Version() tiller.Version { return s.version }
+
+// Items returns the items in force.
+func (s *State) Items() []*wire.Item { return s.items }
+
+// History returns the accepted versions, oldest first.
+func (s *State) History() []*wire.HistoryEntry { return s.history }
+
+// Since returns the accepted versions after a base.
+func (s *State) Since(base tiller.Version) []*wire.HistoryEntry {
+	for i, h := range s.history {
+		if tiller.VersionOf(h.GetVersion()).NewerThan(base) {
+			return s.history[i:]
+		}
+	}
+
+	return nil
+}
+
+// Placements returns the claim groups.
+func (s *State) Placements() *wire.ClaimPlacements { return s.placements }
+
+// Encode returns the state for a snapshot.
+func (s *State) Encode() ([]byte, error) {
+	p := &wire.ArbiterState{Version: s.version.Wire(), Items: s.items, History: s.history, Placements: s.placements, Now: int64(s.now)}
+	p.Version.Generation = s.generation
+
+	for _, id := range s.order {
+		p.Outcomes = append(p.Outcomes, s.outcomes[id])
+	}
+
+	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(p)
+
+	return out, eris.Wrap(err, "encode state")
+}
+
+// Decode returns the state of a snapshot.
+func Decode(data []byte) (*State, error) {
+	var p wire.ArbiterState
+	if err := proto.Unmarshal(data, &p); err != nil {
+		return nil, eris.Wrap(err, "decode state")
+	}
+
+	s := New(p.GetVersion().GetGeneration())
+	s.items = p.GetItems()
+	s.history = p.GetHistory()
+	s.now = tiller.Millis(p.GetNow())
+
+	if p.GetVersion().GetIndex() > 0 {
+		s.version = tiller.VersionOf(p.GetVersion())
+	}
+
+	if p.GetPlacements() != nil {
+		s.placements = p.GetPlacements()
+	}
+
+	for _, o := range p.GetOutcomes() {
+		s.outcomes[o.GetEditId()] = o
+		s.order = append(s.order, o.GetEditId())
+	}
+
+	return s, nil
+}
+
+// RequestHash returns a digest of what an edit asks for, to tell a resend from another edit under the same id.
+func RequestHash(e *wire.Edit) []byte {
+	h := sha256.New()
+	h.Write(e.GetBase().GetHash())
+	h.Write([]byte(tiller.VersionOf(e.GetBase()).String()))
+	h.Write(encoder.Hash(e.GetItems()))
+
+	return h.Sum(nil)[:encoder.HashBytes]
+}
+
+// Check returns every fault of an edit that can be found without the log.
+func Check(e *wire.Edit) []string {
+	var faults []string
+
+	if n := len(e.GetId()); n == 0 || n > MaxEditIDBytes {
+		faults = append(faults, "edit id must have 1 to 64 bytes")
+	}
+
+	if !slices.IsSortedFunc(e.GetItems(), func(a, b *wire.Item) int { return bytes.Compare([]byte(a.GetPath()), []byte(b.GetPath())) }) {
+		faults = append(faults, "items must be ordered by path")
+	}
+
+	return append(faults, CheckItems(e.GetItems())...)
+}
+
+// CheckItems returns every fault of a document in canonical form.
+func CheckItems(items []*wire.Item) []string {
+	spec, err := encoder.Decode(items)
+	if err != nil {
+		return []string{err.Error()}
+	}
+
+	var faults []string
+
+	_, found := validator.Validate(spec)
+	for _, f := range found {
+		faults = append(faults, f.String())
+	}
+
+	return faults
+}
--- /dev/null
+++ b/backend.go
@@ -0,0 +1,55 @@
+package sycamoretiller
+
+import "gitlab.com/sycamoretiller/sycamoretiller/wire"
+
+// Backend is what a node knows of one backend server, possibly a remote one.
+type Backend struct {
+	worker      Worker
+	dataCentre  DataCentre
+	service     Service
+	callAddress Address
+	slots       int
+	state       wire.BackendState
+	readySince  Millis
+	suspect     bool
+}
+
+// BackendOf converts a membership entry.
+func BackendOf(e *wire.NodeEntry) Backend {
+	return Backend{
+		worker:      Worker(e.GetName()),
+		dataCentre:  DataCentre(e.GetDataCentre()),
+		service:     Service(e.GetService()),
+		callAddress: Address(e.GetCallAddress()),
+		slots:       int(e.GetSlots()),
+		state:       e.GetState(),
+		readySince:  Millis(e.GetReadySince()),
+		suspect:     e.GetLiveness() != wire.Liveness_LIVENESS_ALIVE,
+	}
+}
+
+// Worker returns the worker's name.
+func (b Backend) Worker() Worker { return b.worker }
+
+// DataCentre returns where the backend server runs.
+func (b Backend) DataCentre() DataCentre { return b.dataCentre }
+
+// Service returns the service that it offers.
+func (b Backend) Service() Service { return b.service }
+
+// CallAddress returns the address of the node on its VM.
+func (b Backend) CallAddress() Address { return b.callAddress }
+
+// Slots returns how many requests it runs at once.
+func (b Backend) Slots() int { return b.slots }
+
+// Ready reports whether it accepts new work.
+func (b Backend) Ready() bool {
+	return b.state == wire.BackendState_BACKEND_STATE_READY
+}
+
+// ReadySince returns when it became ready, by its own node's clock.
+func (b Backend) ReadySince() Millis { return b.readySince }
+
+// Suspect reports whether peers doubt that its VM is alive.
+func (b Backend) Suspect() bool { return b.suspect }
--- /dev/null
+++ b/claimer/member.go
@@ -0,0 +1,434 @@
+// Package claimer lets a keyed request run at most once. A claim is granted by a majority of a small group of nodes in
+// the key's home data centre, which keep it in memory. The group's epochs go through the source's log; a new group
+// either learns all claims of the old one or refuses keys that may have been claimed before. It does no input or output.
+package claimer
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	// MaxAnswerBytes is the largest answer kept for resends.
+	MaxAnswerBytes = 8 << 10
+	// MaxRecords bounds the claims that one member keeps.
+	MaxRecords = 200_000
+
+	fetchPeriod   tiller.Millis = 500
+	learnPatience               = 3 * tiller.Second
+	sweepPeriod                 = 10 * tiller.Second
+)
+
+// Identity names one start of a node as a member of a claim group; a restart gives another identity, since it loses
+// the claims.
+func Identity(name string, incarnation uint64, address tiller.Address) string {
+	return fmt.Sprintf("%s#%d@%s", name, incarnation, address)
+}
+
+// ParseIdentity splits a member's identity.
+func ParseIdentity(id string) (name string, incarnation uint64, address tiller.Address, ok bool) {
+	at := strings.LastIndex(id, "@")
+	hash := strings.LastIndex(id[:max(at, 0)], "#")
+
+	if at < 0 || hash < 0 {
+		return "", 0, "", false
+	}
+
+	if n, err := fmt.Sscanf(id[hash+1:at], "%d", &incarnation); err != nil || n != 1 {
+		return "", 0, "", false
+	}
+
+	return id[:hash], incarnation, tiller.Address(id[at+1:]), true
+}
+
+// Lost tells whether a member's process is known to have ended, so that it grants no more claims.
+type Lost func(identity string) bool
+
+type claim struct {
+	digest    []byte
+	attempt   string
+	completed bool
+	answer    *wire.Answer
+	created   tiller.Millis
+}
+
+// group is the member's state in one epoch.
+type group struct {
+	placement *wire.ClaimPlacement
+	serving   bool
+	heard     tiller.Set[string]
+	lost      tiller.Set[string]
+	served    uint64
+	fetchAt   tiller.Millis
+	giveUpAt  tiller.Millis
+}
+
+// Member is a node's part in the claim group of its data centre.
+type Member struct {
+	identity string
+	address  tiller.Address
+	home     tiller.DataCentre
+
+	group       *group
+	records     map[string]*claim
+	released    map[string]tiller.Millis
+	fence       tiller.Millis
+	servedEpoch uint64
+	sealedBelow uint64
+	sweepAt     tiller.Millis
+
+	out    []*wire.Envelope
+	events []tiller.Event
+}
+
+// NewMember returns a member that belongs to no group yet.
+func NewMember(identity string, address tiller.Address, home tiller.DataCentre) *Member {
+	return &Member{
+		identity: identity, address: address, home: home,
+		records: map[string]*claim{}, released: map[string]tiller.Millis{},
+	}
+}
+
+// SetIdentity changes the identity after the incarnation was corrected; claims under the old one are dropped.
+func (m *Member) SetIdentity(identity string) {
+	if identity != m.identity {
+		*m = *NewMember(identity, m.address, m.home)
+	}
+}
+
+// Place tells the member of a placement. A newer epoch ends the old group here.
+func (m *Member) Place(p *wire.ClaimPlacement) {
+	if p.GetDataCentre() != string(m.home) || p.GetEpoch() <= m.epoch() {
+		return
+	}
+
+	g := &group{placement: p, heard: tiller.NewSet[string](), lost: tiller.NewSet[string]()}
+	m.group = g
+
+	g.heard.Add(m.identity)
+	g.served = m.servedEpoch
+}
+
+func (m *Member) epoch() uint64 {
+	if m.group == nil {
+		return 0
+	}
+
+	return m.group.placement.GetEpoch()
+}
+
+// Seal stops granting claims for good, before the node stops.
+func (m *Member) Seal() { m.sealedBelow = math.MaxUint64 }
+
+// Tick asks the previous groups for their claims and forgets claims after the window.
+func (m *Member) Tick(now, wall tiller.Millis, lost Lost) ([]*wire.Envelope, []tiller.Event) {
+	m.reset()
+
+	if m.group == nil {
+		return nil, nil
+	}
+
+	if !m.group.serving && slices.Contains(m.group.placement.GetMembers(), m.identity) && m.epoch() >= m.sealedBelow {
+		m.learn(now, wall, lost)
+	}
+
+	if now >= m.sweepAt {
+		m.sweepAt = now + sweepPeriod
+		m.sweep(wall)
+	}
+
+	return m.out, m.events
+}
+
+func (m *Member) reset() {
+	m.out = nil
+	m.events = nil
+}
+
+// learn waits until no claim can be granted in an older epoch any more. A claim is held by a majority, so hearing from
+// all but a minority of a group tells every claim that it granted. Where too many members lost their memory, those that
+// may still answer get some time, then keys from before that moment are refused instead.
+func (m *Member) learn(now, wall tiller.Millis, lost Lost) {
+	g := m.group
+	previous := g.placement.GetPrevious()
+
+	if len(previous) == 0 {
+		m.fence = max(m.fence, tiller.Millis(g.placement.GetFence()))
+		m.serve("first group")
+
+		return
+	}
+
+	if g.giveUpAt == 0 {
+		g.giveUpAt = now + learnPatience
+	}
+
+	ended, complete := true, g.served >= previous[0].GetEpoch() || previous[0].GetEpoch() == 1
+
+	for _, p := range previous {
+		heard, gone := m.account(p, lost)
+		needed := len(p.GetMembers()) - majority(len(p.GetMembers())) + 1
+		ended = ended && heard+gone >= needed
+		complete = complete && heard >= needed
+	}
+
+	switch {
+	case complete:
+		m.serve("all claims learnt")
+	case ended && now >= g.giveUpAt:
+		m.fence = max(m.fence, tiller.Millis(g.placement.GetFence()), wall+MaxAhead+MaxSkew)
+		m.serve("claims were lost; older keys are refused")
+	case now >= g.fetchAt:
+		g.fetchAt = now + fetchPeriod
+		m.fetch(previous)
+	}
+}
+
+// account counts the members of a group that were heard and those that are known to have ended unheard.
+func (m *Member) account(p *wire.ClaimGroup, lost Lost) (heard, gone int) {
+	for _, id := range p.GetMembers() {
+		switch {
+		case m.group.heard.Has(id):
+			heard++
+		case m.group.lost.Has(id) || lost(id):
+			m.group.lost.Add(id)
+
+			gone++
+		}
+	}
+
+	return heard, gone
+}
+
+func (m *Member) serve(why string) {
+	m.group.serving = true
+	m.servedEpoch = m.epoch()
+	m.events = append(m.events, tiller.NewEvent(tiller.EventClaimPlaced,
+		fmt.Sprintf("serves claims of epoch %d: %s", m.epoch(), why)))
+}
+
+func (m *Member) fetch(previous []*wire.ClaimGroup) {
+	asked := tiller.NewSet[string]()
+
+	for _, p := range previous {
+		for _, id := range p.GetMembers() {
+			_, _, address, ok := ParseIdentity(id)
+			if !ok || m.group.heard.Has(id) || !asked.Add(id) {
+				continue
+			}
+
+			m.send(address, &wire.Envelope{Body: &wire.Envelope_ClaimFetch{ClaimFetch: &wire.ClaimFetch{
+				DataCentre: string(m.home), Epoch: m.epoch(), Member: id,
+			}}})
+		}
+	}
+}
+
+func (m *Member) send(to tiller.Address, e *wire.Envelope) {
+	e.From = string(m.address)
+	e.To = string(to)
+	m.out = append(m.out, e)
+}
+
+func (m *Member) sweep(wall tiller.Millis) {
+	for key, c := range m.records {
+		if c.created+Window+MaxAhead < wall {
+			delete(m.records, key)
+		}
+	}
+
+	for attempt, at := range m.released {
+		if at+Window < wall {
+			delete(m.released, attempt)
+		}
+	}
+}
+
+// Receive answers claims and takes part in the change of groups.
+func (m *Member) Receive(wall tiller.Millis, e *wire.Envelope) ([]*wire.Envelope, []tiller.Event) {
+	m.reset()
+
+	switch b := e.GetBody().(type) {
+	case *wire.Envelope_Claim:
+		m.onClaim(wall, tiller.Address(e.GetFrom()), b.Claim)
+	case *wire.Envelope_ClaimFetch:
+		m.onFetch(tiller.Address(e.GetFrom()), b.ClaimFetch)
+	case *wire.Envelope_ClaimState:
+		m.onState(b.ClaimState)
+	default:
+	}
+
+	return m.out, m.events
+}
+
+func (m *Member) onClaim(wall tiller.Millis, from tiller.Address, c *wire.Claim) {
+	verdict, answer := m.decide(wall, c)
+	m.send(from, &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: &wire.ClaimReply{
+		Key: c.GetKey(), Attempt: c.GetAttempt(), Phase: c.GetPhase(), Member: m.identity, Epoch: m.epoch(),
+		Verdict: verdict, Answer: answer,
+	}}})
+}
+
+// decide answers a claim. Outcomes are taken in any epoch, since they only add to what is known.
+func (m *Member) decide(wall tiller.Millis, c *wire.Claim) (wire.ClaimVerdict, *wire.Answer) {
+	switch c.GetPhase() {
+	case wire.ClaimPhase_CLAIM_PHASE_COMPLETE:
+		m.complete(c)
+
+		return wire.ClaimVerdict_CLAIM_VERDICT_GRANTED, nil
+	case wire.ClaimPhase_CLAIM_PHASE_RELEASE:
+		m.release(wall, c)
+
+		return wire.ClaimVerdict_CLAIM_VERDICT_GRANTED, nil
+	default:
+	}
+
+	if !m.Serving() || c.GetEpoch() != m.epoch() {
+		return wire.ClaimVerdict_CLAIM_VERDICT_WRONG_EPOCH, nil
+	}
+
+	return m.take(wall, c)
+}
+
+func (m *Member) take(wall tiller.Millis, c *wire.Claim) (wire.ClaimVerdict, *wire.Answer) {
+	key, err := ParseKey(c.GetKey())
+	if err != nil || key.Check(wall) != nil {
+		return wire.ClaimVerdict_CLAIM_VERDICT_FENCED, nil
+	}
+
+	if old := m.records[c.GetKey()]; old != nil {
+		return verdictOn(old, c)
+	}
+
+	if _, released := m.released[c.GetAttempt()]; released {
+		return wire.ClaimVerdict_CLAIM_VERDICT_TAKEN, nil
+	}
+
+	if key.Created() <= m.fence || len(m.records) >= MaxRecords {
+		return wire.ClaimVerdict_CLAIM_VERDICT_FENCED, nil
+	}
+
+	m.records[c.GetKey()] = &claim{digest: c.GetDigest(), attempt: c.GetAttempt(), created: key.Created()}
+
+	return wire.ClaimVerdict_CLAIM_VERDICT_GRANTED, nil
+}
+
+func verdictOn(old *claim, c *wire.Claim) (wire.ClaimVerdict, *wire.Answer) {
+	switch {
+	case !bytes.Equal(old.digest, c.GetDigest()):
+		return wire.ClaimVerdict_CLAIM_VERDICT_MISMATCH, nil
+	case old.completed:
+		return wire.ClaimVerdict_CLAIM_VERDICT_COMPLETED, old.answer
+	case old.attempt == c.GetAttempt():
+		return wire.ClaimVerdict_CLAIM_VERDICT_GRANTED, nil
+	default:
+		return wire.ClaimVerdict_CLAIM_VERDICT_TAKEN, nil
+	}
+}
+
+func (m *Member) complete(c *wire.Claim) {
+	r := m.records[c.GetKey()]
+	if r == nil || r.attempt != c.GetAttempt() {
+		key, err := ParseKey(c.GetKey())
+		if err != nil {
+			return
+		}
+
+		// The claim was granted by others; its outcome is worth more than a grant that never ran.
+		r = &claim{digest: c.GetDigest(), attempt: c.GetAttempt(), created: key.Created()}
+		m.records[c.GetKey()] = r
+	}
+
+	r.completed = true
+	r.answer = c.GetAnswer()
+}
+
+// release drops the claim of an attempt that did not run; its late claim is refused from then on.
+func (m *Member) release(wall tiller.Millis, c *wire.Claim) {
+	m.released[c.GetAttempt()] = wall
+
+	if r := m.records[c.GetKey()]; r != nil && r.attempt == c.GetAttempt() && !r.completed {
+		delete(m.records, c.GetKey())
+	}
+}
+
+// onFetch ends the older epochs here and hands over every claim.
+func (m *Member) onFetch(from tiller.Address, f *wire.ClaimFetch) {
+	if f.GetMember() != m.identity || f.GetDataCentre() != string(m.home) {
+		return
+	}
+
+	m.sealedBelow = max(m.sealedBelow, f.GetEpoch())
+	s := &wire.ClaimState{
+		DataCentre: string(m.home), Epoch: f.GetEpoch(), Fence: int64(m.fence), Member: m.identity, ServedEpoch: m.servedEpoch,
+	}
+
+	for _, key := range sortedKeys(m.records) {
+		r := m.records[key]
+		s.Records = append(s.Records, &wire.ClaimRecord{
+			Key: key, Digest: r.digest, Attempt: r.attempt, Completed: r.completed, Answer: r.answer,
+		})
+	}
+
+	m.send(from, &wire.Envelope{Body: &wire.Envelope_ClaimState{ClaimState: s}})
+}
+
+func (m *Member) onState(s *wire.ClaimState) {
+	if s.GetEpoch() != m.epoch() || m.group.serving {
+		return
+	}
+
+	for _, r := range s.GetRecords() {
+		m.adopt(r)
+	}
+
+	m.fence = max(m.fence, tiller.Millis(s.GetFence()))
+	m.group.heard.Add(s.GetMember())
+	m.group.served = max(m.group.served, s.GetServedEpoch())
+}
+
+func (m *Member) adopt(r *wire.ClaimRecord) {
+	old := m.records[r.GetKey()]
+	if old != nil && (old.completed || !r.GetCompleted()) {
+		return
+	}
+
+	key, err := ParseKey(r.GetKey())
+	if err != nil {
+		return
+	}
+
+	m.records[r.GetKey()] = &claim{
+		digest: r.GetDigest(), attempt: r.GetAttempt(), completed: r.GetCompleted(), answer: r.GetAnswer(), created: key.Created(),
+	}
+}
+
+// Serving reports whether the member grants claims.
+func (m *Member) Serving() bool {
+	return m.group != nil && m.group.serving && m.epoch() >= m.sealedBelow
+}
+
+// ServingEpoch returns the epoch in which the member grants claims, zero if it grants none.
+func (m *Member) ServingEpoch() uint64 {
+	if !m.Serving() {
+		return 0
+	}
+
+	return m.epoch()
+}
+
+// Records returns the number of claims kept.
+func (m *Member) Records() int { return len(m.records) }
+
+func majority(n int) int { return n/2 + 1 }
+
+func sortedKeys[T any](m map[string]T) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/cmd/controller/main.go
@@ -0,0 +1,92 @@
+// Command controller runs the configuration source on one control VM.
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/urfave/cli/v3"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/controlserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+)
+
+func main() { launcher.Main(command()) }
+
+func command() *cli.Command {
+	settings := &cli.StringFlag{Name: "settings", Usage: "YAML settings `FILE`", Required: true}
+
+	return &cli.Command{
+		Name:  "controller",
+		Usage: "replicate accepted configurations and serve them to the data centres",
+		Commands: []*cli.Command{
+			{
+				Name: "bootstrap", Usage: "make the empty data folder the first voter of a new cluster; once per cluster",
+				Flags: []cli.Flag{settings}, Action: bootstrap,
+			},
+			{Name: "run", Usage: "run until SIGTERM; an empty data folder joins the peers", Flags: []cli.Flag{settings}, Action: run},
+			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settings}, Action: check},
+		},
+	}
+}
+
+func read(c *cli.Command) (controlserver.Settings, error) {
+	s, err := controlserver.ReadSettings(c.String("settings"))
+	if err != nil {
+		return s, launcher.Exit(launcher.ExitBadInput, err)
+	}
+
+	return s, nil
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	s, err := read(c)
+	if err != nil {
+		return err
+	}
+
+	_, err = fmt.Fprintf(c.Root().Writer, "settings of %s are valid\n", s.Name)
+
+	return err
+}
+
+func bootstrap(_ context.Context, c *cli.Command) error {
+	s, err := read(c)
+	if err != nil {
+		return err
+	}
+
+	if err := controlserver.Bootstrap(s); err != nil {
+		return err
+	}
+
+	_, err = fmt.Fprintf(c.Root().Writer, "%s is the first voter of a new cluster\n", s.Name)
+
+	return err
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := read(c)
+	if err != nil {
+		return err
+	}
+
+	log, err := launcher.NewLog(s.Verbose)
+	if err != nil {
+		return err
+	}
+
+	server, err := controlserver.New(s, controlserver.Options{Log: log, Metrics: metrics.NewRegistry()})
+	if err != nil {
+		return err
+	}
+
+	log.Info("controller starts", "name", s.Name, "data_centre", s.DataCentre, "address", s.Address)
+
+	err = runner.Run(ctx, server.Parts()...)
+	log.Info("controller stopped", "name", s.Name)
+
+	return err
+}
--- /dev/null
+++ b/cmd/node/main.go
@@ -0,0 +1,64 @@
+// Command node runs the node of one worker's VM.
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/urfave/cli/v3"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/nodeserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+)
+
+func main() { launcher.Main(command()) }
+
+func command() *cli.Command {
+	settings := &cli.StringFlag{Name: "settings", Usage: "YAML settings `FILE`", Required: true}
+
+	return &cli.Command{
+		Name:  "node",
+		Usage: "carry calls for the worker on this VM and hold the configuration in force",
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run until SIGTERM, then drain and leave", Flags: []cli.Flag{settings}, Action: run},
+			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settings}, Action: check},
+		},
+	}
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	s, err := nodeserver.ReadSettings(c.String("settings"))
+	if err != nil {
+		return launcher.Exit(launcher.ExitBadInput, err)
+	}
+
+	_, err = fmt.Fprintf(c.Root().Writer, "settings of %s are valid\n", s.Name)
+
+	return err
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := nodeserver.ReadSettings(c.String("settings"))
+	if err != nil {
+		return launcher.Exit(launcher.ExitBadInput, err)
+	}
+
+	log, err := launcher.NewLog(s.Verbose)
+	if err != nil {
+		return err
+	}
+
+	server, err := nodeserver.New(s, nodeserver.Options{Log: log, Metrics: metrics.NewRegistry()})
+	if err != nil {
+		return err
+	}
+
+	log.Info("node starts", "name", s.Name, "data_centre", s.DataCentre, "service", s.Service, "address", s.Address, "call_address", s.CallAddress)
+
+	err = runner.Run(ctx, server.Parts()...)
+	log.Info("node stopped", "name", s.Name)
+
+	return err
+}
--- /dev/null
+++ b/cmd/quickstart/crash.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+)
+
+const crashTimeout = 5 * time.Second
+
+// sendCrash sends the crashing request to some node of the first data centre and returns how it ended.
+func (t *tour) sendCrash() string {
+	first := t.fleet.plan.DataCentres[0]
+
+	var targets []standin.Target
+
+	for _, target := range t.fleet.targets() {
+		if string(target.DataCentre) == first {
+			targets = append(targets, target)
+		}
+	}
+
+	target := targets[rand.IntN(len(targets))]
+
+	resp, err := resty.New().SetTimeout(crashTimeout).R().SetHeader(standin.HeaderCrash, "yes").
+		Get("http://" + string(target.Address) + t.fleet.plan.CrashPath)
+	if err != nil {
+		return err.Error()
+	}
+
+	if resp.StatusCode() == http.StatusOK {
+		return "served"
+	}
+
+	return resp.Header().Get(forwarder.HeaderReason)
+}
--- /dev/null
+++ b/cmd/quickstart/main.go
@@ -0,0 +1,56 @@
+// Command quickstart runs a whole small fleet on loopback addresses, breaks it in several ways and checks every promise.
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/parser"
+)
+
+func main() { launcher.Main(command()) }
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "quickstart",
+		Usage: "run a fleet with stand-ins, edit its configuration, break it and print what happened",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "examples", Usage: "`FOLDER` of the deployments", Value: "examples"},
+			&cli.StringFlag{Name: "deployment", Usage: "`NAME` of the deployment: kigali or hill_country", Value: "kigali"},
+			&cli.StringFlag{Name: "timeline", Usage: "write the time line as HTML to `FILE`"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	folder := filepath.Join(c.String("examples"), c.String("deployment"))
+
+	var p plan
+	if err := parser.ReadFile(filepath.Join(folder, "fleet.yaml"), &p); err != nil {
+		return launcher.Exit(launcher.ExitBadInput, err)
+	}
+
+	data, err := os.ReadFile(filepath.Join(folder, "document.yaml"))
+	if err != nil {
+		return launcher.Exit(launcher.ExitBadInput, err)
+	}
+
+	document, err := parser.Document(data)
+	if err != nil {
+		return launcher.Exit(launcher.ExitBadInput, err)
+	}
+
+	disk, err := os.MkdirTemp("", "quickstart-")
+	if err != nil {
+		return err
+	}
+
+	defer func() { _ = os.RemoveAll(disk) }()
+
+	return newTour(newFleet(p, disk), document, c.Root().Writer, c.String("timeline")).run(ctx)
+}
--- /dev/null
+++ b/cmd/quickstart/tour.go
@@ -0,0 +1,554 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/editor"
+	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/renderer"
+	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	// convergenceBound is the target for a change to be in force everywhere.
+	convergenceBound = 16 * time.Second
+	// drainBound is when a leaving worker must receive no new work.
+	drainBound = 3 * time.Second
+	// crashBound is how many servers one request may crash.
+	crashBound = 2
+
+	readyBound   = 30 * time.Second
+	callerCount  = 24
+	callerPause  = 15 * time.Millisecond
+	pollPeriod   = 10 * time.Millisecond
+	settleTime   = 2 * time.Second
+	cutTime      = 8 * time.Second
+	editTimeout  = 20 * time.Second
+	author       = "quickstart"
+	crashResends = 4
+)
+
+// tour is the run of the quickstart.
+type tour struct {
+	fleet    *fleet
+	document tiller.DocumentSpec
+	out      io.Writer
+	timeline string
+	client   *editor.Client
+	tally    *standin.Tally
+	callers  *standin.Callers
+	mu       sync.Mutex
+	versions map[string]tiller.Version
+}
+
+func newTour(f *fleet, document tiller.DocumentSpec, out io.Writer, timeline string) *tour {
+	t := &tour{
+		fleet: f, document: document, out: out, timeline: timeline, tally: standin.NewTally(f.ledger),
+		client: editor.New(transporter.Addresses(f.controllerAddresses())), versions: map[string]tiller.Version{},
+	}
+
+	return t
+}
+
+func (t *tour) say(format string, args ...any) {
+	// Losing a line of the report changes nothing about the run.
+	_, _ = fmt.Fprintf(t.out, format+"\n", args...)
+}
+
+func (t *tour) run(ctx context.Context) error {
+	began := time.Now()
+
+	if err := t.fleet.start(ctx); err != nil {
+		return err
+	}
+
+	err := t.steps(ctx)
+	if err != nil {
+		t.tally.Breach("%s", err)
+	}
+
+	if err := errors.Join(t.writeTimeline(ctx), t.fleet.stop()); err != nil {
+		t.tally.Breach("%s", err)
+	}
+
+	return t.verdict(time.Since(began))
+}
+
+func (t *tour) steps(ctx context.Context) error {
+	if err := t.firstDocument(ctx); err != nil {
+		return err
+	}
+
+	calling, stop := context.WithCancel(ctx)
+	defer stop()
+
+	t.callers = standin.NewCallers(t.fleet.plan.Scripts, t.fleet.targets(), t.tally)
+
+	var callers sync.WaitGroup
+	for range callerCount {
+		callers.Go(func() { t.callers.Run(calling, callerPause) })
+	}
+
+	go t.watchVersions(calling)
+
+	for _, step := range []func(context.Context) error{
+		t.shiftTraffic, t.drainWorker, t.crashingRequest, t.restartNode, t.loseLeader, t.cutDataCentre,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+
+	stop()
+	callers.Wait()
+
+	return nil
+}
+
+func (t *tour) firstDocument(ctx context.Context) error {
+	if err := t.until(readyBound, "the controllers elect a leader", func() bool {
+		s, err := t.client.Status(ctx)
+
+		return err == nil && s.GetCurrent()
+	}); err != nil {
+		return err
+	}
+
+	if err := t.edit(ctx, "first document", func(*tiller.DocumentSpec) {}); err != nil {
+		return err
+	}
+
+	if err := t.until(readyBound, "all workers are ready and claim groups are placed", func() bool { return t.routable(ctx) }); err != nil {
+		return err
+	}
+
+	t.say("fleet        %d controllers, %d nodes in %d data centres", controllers, len(t.fleet.nodes), len(t.fleet.plan.DataCentres))
+
+	return nil
+}
+
+// routable reports whether every node knows every worker as ready and every claim group.
+func (t *tour) routable(ctx context.Context) bool {
+	for _, n := range t.fleet.nodes {
+		r, err := t.client.Inspector(n.server.Address()).Inspect(ctx, &wire.InspectRequest{})
+		if err != nil || len(r.GetPlacements().GetPlacements()) < len(t.fleet.plan.DataCentres) {
+			return false
+		}
+
+		ready := 0
+
+		for _, e := range r.GetEntries() {
+			if e.GetState() == wire.BackendState_BACKEND_STATE_READY {
+				ready++
+			}
+		}
+
+		if ready < len(t.fleet.plan.Workers) {
+			return false
+		}
+	}
+
+	return true
+}
+
+func (t *tour) until(bound time.Duration, what string, ok func() bool) error {
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(pollPeriod) {
+		if ok() {
+			return nil
+		}
+	}
+
+	return eris.Errorf("within %s it did not happen that %s", bound, what)
+}
+
+// edit changes the document and waits until it is in force on every reachable node.
+func (t *tour) edit(ctx context.Context, reason string, change func(*tiller.DocumentSpec)) error {
+	ctx, cancel := context.WithTimeout(ctx, editTimeout)
+	defer cancel()
+
+	shown, err := t.client.Show(ctx)
+	if err != nil {
+		return err
+	}
+
+	change(&t.document)
+
+	before := tiller.VersionOf(shown.GetVersion())
+
+	e, err := editor.NewEdit(t.document, before, author, reason)
+	if err != nil {
+		return err
+	}
+
+	sent := t.controlBytes()
+	began := time.Now()
+
+	r, err := t.client.Apply(ctx, e)
+	if err != nil {
+		return err
+	}
+
+	if !r.GetOutcome().GetAccepted() {
+		return eris.Errorf("edit %q was not accepted: %s %v", reason, r.GetAdvice(), r.GetFaults())
+	}
+
+	accepted := time.Since(began)
+	version := tiller.VersionOf(r.GetOutcome().GetVersion())
+
+	if err := t.until(convergenceBound, "version "+version.String()+" is in force everywhere", func() bool { return t.inForce(version) }); err != nil {
+		return err
+	}
+
+	t.say("edit         %-34s %s -> %s  accepted in %d ms, in force on %d nodes in %d ms, %d control bytes meanwhile",
+		reason, before, version, accepted.Milliseconds(), t.reachable(), time.Since(began).Milliseconds(), t.controlBytes()-sent)
+
+	return nil
+}
+
+func (t *tour) reachable() int {
+	n := 0
+
+	for _, node := range t.fleet.nodes {
+		if node.plan.DataCentre != t.fleet.cut {
+			n++
+		}
+	}
+
+	return n
+}
+
+func (t *tour) inForce(v tiller.Version) bool {
+	for _, n := range t.fleet.nodes {
+		if n.plan.DataCentre != t.fleet.cut && v.NewerThan(n.server.Version()) {
+			return false
+		}
+	}
+
+	return true
+}
+
+func (t *tour) controlBytes() int64 {
+	total := int64(0)
+
+	for _, n := range t.fleet.nodes {
+		total += metrics.GetOrRegisterCounter("control.sent_bytes", n.metrics).Count()
+	}
+
+	return total
+}
+
+// watchVersions checks that no node ever moves to an older version.
+func (t *tour) watchVersions(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+
+		for name, n := range t.fleet.nodes {
+			v := n.server.Version()
+			if t.versions[name].NewerThan(v) && !v.IsZero() {
+				t.tally.Breach("%s moved back from %s to %s", name, t.versions[name], v)
+			}
+
+			t.versions[name] = v
+		}
+
+		t.mu.Unlock()
+		time.Sleep(pollPeriod)
+	}
+}
+
+// shiftTraffic takes a worker out of use by an exception and checks that calls go elsewhere.
+func (t *tour) shiftTraffic(ctx context.Context) error {
+	worker := tiller.Worker(t.fleet.plan.ShiftWorker)
+
+	time.Sleep(settleTime)
+
+	if t.tally.Workers()[worker] == 0 {
+		return eris.Errorf("%s received no calls before the edit", worker)
+	}
+
+	if err := t.edit(ctx, "take "+string(worker)+" out of use", func(d *tiller.DocumentSpec) {
+		d.Exceptions = append(d.Exceptions, tiller.ExceptionSpec{
+			Name: "out-of-use", Scope: tiller.ScopeSpec{Worker: string(worker)}, Setting: tiller.SettingTrafficPercent.String(),
+			Value: 0, Reason: "its disk is replaced this afternoon",
+		})
+	}); err != nil {
+		return err
+	}
+
+	before := t.settledCalls(worker)
+
+	time.Sleep(settleTime)
+
+	after := t.tally.Workers()[worker]
+	t.say("shift        %s received %d calls in %s after the edit", worker, after-before, settleTime)
+
+	if after != before {
+		t.tally.Breach("%s received %d calls although the exception takes it out of use", worker, after-before)
+	}
+
+	return t.edit(ctx, "put "+string(worker)+" back", func(d *tiller.DocumentSpec) {
+		d.Exceptions = slices.DeleteFunc(d.Exceptions, func(e tiller.ExceptionSpec) bool { return e.Name == "out-of-use" })
+	})
+}
+
+// settledCalls returns a worker's answered calls once those in flight have ended.
+func (t *tour) settledCalls(w tiller.Worker) int {
+	time.Sleep(settleTime / 4)
+
+	return t.tally.Workers()[w]
+}
+
+func (t *tour) drainWorker(context.Context) error {
+	worker := tiller.Worker(t.fleet.plan.DrainWorker)
+	t.fleet.backends[string(worker)].Drain()
+	time.Sleep(drainBound)
+
+	before := t.tally.Workers()[worker]
+
+	time.Sleep(settleTime)
+
+	late := t.tally.Workers()[worker] - before
+	t.say("drain        %s received %d calls later than %s after it began to drain", worker, late, drainBound)
+
+	if late != 0 {
+		t.tally.Breach("%s received %d calls while draining", worker, late)
+	}
+
+	return nil
+}
+
+// crashingRequest sends a request that kills each server that runs it, again and again.
+func (t *tour) crashingRequest(context.Context) error {
+	crashes := func() int64 {
+		total := int64(0)
+		for _, b := range t.fleet.backends {
+			total += b.Crashes()
+		}
+
+		return total
+	}
+
+	before := crashes()
+	last := ""
+
+	for range crashResends {
+		last = t.sendCrash()
+		time.Sleep(settleTime)
+	}
+
+	t.say("crash        a crashing request sent %d times killed %d servers and ended as %s", crashResends, crashes()-before, last)
+
+	if crashes()-before > crashBound {
+		t.tally.Breach("a crashing request killed %d servers", crashes()-before)
+	}
+
+	if last != tiller.ReasonQuarantined.String() {
+		t.tally.Breach("a crashing request was not refused but ended as %q", last)
+	}
+
+	return nil
+}
+
+// restartNode stops a node gracefully, starts it again and waits until it holds the version in force.
+func (t *tour) restartNode(ctx context.Context) error {
+	w := t.fleet.plan.Workers[len(t.fleet.plan.Workers)-1]
+	t.callers.Aim(t.targetsWithout(w.Name))
+	time.Sleep(settleTime / 2)
+
+	node := t.fleet.nodes[w.Name]
+	version := node.server.Version()
+
+	if err := node.process.stop(); err != nil {
+		return err
+	}
+
+	t.mu.Lock()
+	delete(t.versions, w.Name)
+	err := t.fleet.startNode(ctx, w)
+	t.mu.Unlock()
+
+	if err != nil {
+		return err
+	}
+
+	began := time.Now()
+	caughtUp := func() bool { return !version.NewerThan(t.fleet.nodes[w.Name].server.Version()) }
+
+	if err := t.until(convergenceBound, w.Name+" catches up", caughtUp); err != nil {
+		return err
+	}
+
+	t.say("restart      node of %s stopped gracefully and held %s again after %d ms", w.Name, version, time.Since(began).Milliseconds())
+	time.Sleep(settleTime)
+	t.callers.Aim(t.fleet.targets())
+
+	return nil
+}
+
+func (t *tour) targetsWithout(worker string) []standin.Target {
+	address := t.fleet.nodes[worker].server.CallAddress()
+
+	return slices.DeleteFunc(t.fleet.targets(), func(o standin.Target) bool { return o.Address == address })
+}
+
+func lengthenQueue(d *tiller.DocumentSpec) { d.Defaults[tiller.SettingQueueLength.String()]++ }
+
+// loseLeader kills the leading controller, edits through the others and brings it back.
+func (t *tour) loseLeader(ctx context.Context) error {
+	i := slices.IndexFunc(t.fleet.controllers, func(c *runningController) bool { return c.server.Status().GetCurrent() })
+	if i < 0 {
+		return eris.New("no controller leads")
+	}
+
+	began := time.Now()
+	if err := t.fleet.controllers[i].server.Kill(); err != nil {
+		return err
+	}
+
+	if err := t.until(readyBound, "another controller leads", func() bool {
+		return slices.ContainsFunc(t.fleet.controllers, func(c *runningController) bool {
+			return c != t.fleet.controllers[i] && c.server.Status().GetCurrent()
+		})
+	}); err != nil {
+		return err
+	}
+
+	t.say("failover     another controller led %d ms after the leader was killed", time.Since(began).Milliseconds())
+
+	// The process has already closed its sockets, so its parts end with errors that mean nothing here.
+	_ = t.fleet.controllers[i].process.stop()
+
+	if err := t.edit(ctx, "edit after the leader's death", lengthenQueue); err != nil {
+		return err
+	}
+
+	return t.fleet.startController(ctx, i)
+}
+
+// cutDataCentre cuts one data centre off, edits outside, checks that both sides serve, and heals.
+func (t *tour) cutDataCentre(ctx context.Context) error {
+	dc := t.fleet.plan.CutDataCentre
+	inside := func() int {
+		total := 0
+
+		for _, w := range t.fleet.plan.Workers {
+			if w.DataCentre == dc {
+				total += t.tally.Workers()[tiller.Worker(w.Name)]
+			}
+		}
+
+		return total
+	}
+
+	t.fleet.setCut(dc)
+	time.Sleep(settleTime)
+
+	before := inside()
+	err := t.edit(ctx, "edit while "+dc+" is cut off", lengthenQueue)
+
+	time.Sleep(cutTime)
+
+	served := inside() - before
+
+	t.fleet.setCut("")
+
+	if err != nil {
+		return err
+	}
+
+	began := time.Now()
+
+	shown, err := t.client.Show(ctx)
+	if err != nil {
+		return err
+	}
+
+	version := tiller.VersionOf(shown.GetVersion())
+	if err := t.until(convergenceBound, dc+" converges after the cut", func() bool { return t.inForce(version) }); err != nil {
+		return err
+	}
+
+	t.say("cut          %s served %d calls by itself and held %s %d ms after the cut healed", dc, served, version, time.Since(began).Milliseconds())
+
+	if served == 0 {
+		t.tally.Breach("%s served nothing while it was cut off", dc)
+	}
+
+	time.Sleep(settleTime)
+
+	return nil
+}
+
+func (t *tour) writeTimeline(ctx context.Context) error {
+	addresses := make([]tiller.Address, 0, len(t.fleet.nodes))
+	for _, n := range t.fleet.nodes {
+		addresses = append(addresses, n.server.Address())
+	}
+
+	lines, dropped := t.client.Timelines(ctx, addresses)
+	events := renderer.Merge(renderer.Filter{}, lines...)
+	t.say("time line    %d events of %d processes", len(events), len(lines))
+
+	if t.timeline == "" {
+		return nil
+	}
+
+	f, err := os.Create(t.timeline)
+	if err != nil {
+		return eris.Wrap(err, "create time line")
+	}
+
+	return errors.Join(renderer.HTML(f, events, dropped), f.Close())
+}
+
+func (t *tour) verdict(took time.Duration) error {
+	broken := t.tally.Check()
+	sent, answered := t.tally.Keys()
+
+	t.say("served       %v", t.tally.Served())
+	t.say("refused      %v", t.tally.Refused())
+	t.say("keyed        %d requests, %d answered, %d ran twice", sent, answered, t.ranTwice(broken))
+	t.say("took         %s", took.Round(time.Second))
+
+	for _, b := range broken {
+		t.say("BROKEN       %s", b)
+	}
+
+	if len(broken) > 0 {
+		return launcher.Exitf(launcher.ExitFailed, "%d promises were broken", len(broken))
+	}
+
+	t.say("promises     kept")
+
+	return nil
+}
+
+func (t *tour) ranTwice(broken []string) int {
+	n := 0
+
+	for _, b := range broken {
+		var (
+			key  string
+			runs int
+		)
+
+		if c, err := fmt.Sscanf(b, "key %s ran %d times", &key, &runs); err == nil && c == 2 && runs > 1 {
+			n++
+		}
+	}
+
+	return n
+}
--- /dev/null
+++ b/cmd/tillerctl/main.go
@@ -0,0 +1,4 @@
+// Command tillerctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/compiler/compiler.go
@@ -0,0 +1,102 @@
+// Package compiler turns a document into the settings in force at one place and says where each value comes from.
+package compiler
+
+import (
+	"strings"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+)
+
+// Source says where an effective value comes from.
+type Source struct {
+	exception string
+	reason    string
+	stated    bool
+}
+
+// Exception returns the name of the exception, empty for a default.
+func (s Source) Exception() string { return s.exception }
+
+// Reason returns the exception's written reason.
+func (s Source) Reason() string { return s.reason }
+
+// String formats the source for people.
+func (s Source) String() string {
+	switch {
+	case s.exception != "":
+		return "exception " + s.exception + ": " + s.reason
+	case s.stated:
+		return "default of the fleet"
+	default:
+		return "built-in default"
+	}
+}
+
+// Effective holds every setting in force at one place.
+type Effective struct {
+	values  []int64
+	sources []Source
+}
+
+// Value returns the number in force.
+func (e Effective) Value(s tiller.Setting) int64 { return e.values[s] }
+
+// Millis returns a setting in milliseconds as a span of time.
+func (e Effective) Millis(s tiller.Setting) tiller.Millis { return tiller.Millis(e.values[s]) }
+
+// Seconds returns a setting in seconds as a span of time.
+func (e Effective) Seconds(s tiller.Setting) tiller.Millis {
+	return tiller.Millis(e.values[s]) * tiller.Second
+}
+
+// Source returns where the number comes from.
+func (e Effective) Source(s tiller.Setting) Source { return e.sources[s] }
+
+// Compile returns the settings in force at a place.
+func Compile(d tiller.Document, p tiller.Place) Effective {
+	settings := tiller.SettingValues()
+	e := Effective{values: make([]int64, len(settings)), sources: make([]Source, len(settings))}
+
+	for _, s := range settings {
+		value, stated := d.Default(s)
+		if !stated {
+			value = s.Range().Default()
+		}
+
+		e.values[s] = value
+		e.sources[s] = Source{stated: stated}
+	}
+
+	rank := make([]int, len(settings))
+
+	for _, x := range d.Exceptions() {
+		if !x.Covers(p) || x.Specificity() <= rank[x.Setting()] {
+			continue
+		}
+
+		rank[x.Setting()] = x.Specificity()
+		e.values[x.Setting()] = x.Value()
+		e.sources[x.Setting()] = Source{exception: x.Name(), reason: x.Reason()}
+	}
+
+	return e
+}
+
+// Match returns the route of a call, the longest path prefix first.
+func Match(d tiller.Document, method, path string) (tiller.Route, bool) {
+	for _, r := range d.Routes() {
+		if r.Method() == method && hasPathPrefix(path, r.PathPrefix()) {
+			return r, true
+		}
+	}
+
+	return tiller.Route{}, false
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/controlserver/controlserver.go
@@ -0,0 +1,309 @@
+// Package controlserver runs a controller: it connects the decisions of package controller with its disk, sockets and
+// timers.
+package controlserver
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/arbiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/controller"
+	"gitlab.com/sycamoretiller/sycamoretiller/journaler"
+	"gitlab.com/sycamoretiller/sycamoretiller/monitor"
+	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	tickPeriod        = 20 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+// Options change how a server meets its surroundings.
+type Options struct {
+	// Filter cuts connections; nil lets everything pass.
+	Filter transporter.Filter
+	// Log takes log lines.
+	Log logr.Logger
+	// Metrics takes metrics.
+	Metrics metrics.Registry
+	// Wrap decorates the journal; nil leaves it as it is.
+	Wrap func(tiller.Journal) tiller.Journal
+}
+
+// Server is a running controller.
+type Server struct {
+	settings Settings
+	options  Options
+	clock    tiller.Clock
+	ring     *recorder.Ring
+
+	mu      sync.Mutex
+	core    *controller.Core
+	journal tiller.Journal
+	member  *wire.Member
+	failed  error
+	token   uint64
+	waiting map[uint64]chan *wire.ApplyReply
+
+	transport *transporter.Transporter
+	http      *http.Server
+	listener  net.Listener
+	syncTime  metrics.Timer
+}
+
+// Bootstrap makes a fresh data folder the first voter of a new cluster. It refuses a folder that already holds a log.
+func Bootstrap(settings Settings) error {
+	return seed(settings, arbiter.New(1))
+}
+
+// seed writes the first snapshot of a cluster into a fresh data folder.
+func seed(settings Settings, state *arbiter.State) error {
+	journal, restored, err := journaler.Open(settings.DataFolder)
+	if err != nil {
+		return err
+	}
+
+	if restored.Snapshot != nil || len(restored.Entries) > 0 {
+		return errors.Join(eris.Errorf("%s already holds a log", settings.DataFolder), journal.Close())
+	}
+
+	data, err := state.Encode()
+	if err == nil {
+		s := replicator.Bootstrap(uuid.NewString(), memberOf(settings, journal.Identity()), data)
+		err = journal.SaveSnapshot(s, &wire.HardState{Term: 1}, nil)
+	}
+
+	return errors.Join(err, journal.Close())
+}
+
+func memberOf(settings Settings, identity string) *wire.Member {
+	return &wire.Member{Id: identity, Name: settings.Name, Address: settings.Address}
+}
+
+// New opens the data folder and the sockets of a controller.
+func New(settings Settings, options Options) (*Server, error) {
+	hybrid := recorder.NewHybridClock(tiller.WallClock())
+	s := &Server{
+		settings: settings, options: options, clock: tiller.SteadyClock(),
+		ring:     recorder.New(settings.Name, tiller.DataCentre(settings.DataCentre), hybrid),
+		waiting:  map[uint64]chan *wire.ApplyReply{},
+		syncTime: metrics.GetOrRegisterTimer("journal.sync", options.Metrics),
+	}
+
+	if err := s.open(); err != nil {
+		return nil, err
+	}
+
+	transport, err := transporter.New(tiller.Address(settings.Address), hybrid, options.Filter, options.Metrics, options.Log)
+	if err != nil {
+		return nil, errors.Join(err, s.journal.Close())
+	}
+
+	s.transport = transport
+	transport.Attach(tiller.ReceiverFunc(func(e *wire.Envelope) { s.step(controller.Receive{Envelope: e}) }))
+
+	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", settings.Address)
+	if err != nil {
+		return nil, errors.Join(eris.Wrap(err, "listen"), s.journal.Close(), transport.Close(context.Background()))
+	}
+
+	s.buildHandlers()
+
+	return s, nil
+}
+
+// open reads the journal and builds the core from it.
+func (s *Server) open() error {
+	journal, restored, err := journaler.Open(s.settings.DataFolder)
+	if err != nil {
+		return err
+	}
+
+	s.journal = journal
+	s.member = memberOf(s.settings, journal.Identity())
+
+	s.core, err = controller.New(s.member, transporter.Addresses(s.settings.Peers),
+		replicator.NewTiming(tiller.Millis(s.settings.HeartbeatMs)), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), restored)
+	if err != nil {
+		return errors.Join(err, journal.Close())
+	}
+
+	if s.options.Wrap != nil {
+		s.journal = s.options.Wrap(journal)
+	}
+
+	return nil
+}
+
+func (s *Server) buildHandlers() {
+	mux := http.NewServeMux()
+	mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(s.transport))
+	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer((*operator)(s)))
+	monitor.Register(mux, s.options.Metrics, s.missing)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// missing returns what the controller lacks to serve.
+func (s *Server) missing() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	switch {
+	case s.failed != nil:
+		return "the disk failed: " + s.failed.Error()
+	case s.core.Cluster() == "":
+		return "not yet taken in by the other controllers"
+	case s.core.Leader() == "":
+		return "no leader is known"
+	default:
+		return ""
+	}
+}
+
+// step advances the core, makes durable what must be and only then sends and answers.
+func (s *Server) step(event controller.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.failed != nil {
+		return
+	}
+
+	effects := s.core.Step(s.clock.Now(), event)
+	if err := s.persist(effects); err != nil {
+		s.fail(err)
+
+		return
+	}
+
+	s.ring.Record(effects.Events...)
+	s.transport.Send(effects.Messages...)
+
+	for _, r := range effects.Replies {
+		s.answer(r.Token(), r.Reply())
+	}
+}
+
+func (s *Server) persist(e controller.Effects) error {
+	if e.Record != nil {
+		start := time.Now()
+		if err := s.journal.Append(e.Record); err != nil {
+			return err
+		}
+
+		s.syncTime.UpdateSince(start)
+	}
+
+	if e.Snapshot != nil {
+		return s.journal.SaveSnapshot(e.Snapshot, s.core.HardState(), s.core.Tail())
+	}
+
+	return nil
+}
+
+// fail stops all decisions: what the disk holds is unknown, and the other controllers go on without this one.
+func (s *Server) fail(err error) {
+	s.failed = err
+	s.options.Log.Error(err, "disk failed; this controller stops taking part")
+	s.ring.Record(tiller.NewEvent(tiller.EventDiskFailed, err.Error()))
+
+	for token := range s.waiting {
+		s.answer(token, &wire.ApplyReply{
+			Verdict: tiller.VerdictMayHaveRun.String(),
+			Advice:  "the controller's disk failed; send the same edit id to another controller",
+		})
+	}
+}
+
+func (s *Server) answer(token uint64, r *wire.ApplyReply) {
+	if c := s.waiting[token]; c != nil {
+		c <- r
+		delete(s.waiting, token)
+	}
+}
+
+// Parts returns what runs until the controller stops.
+func (s *Server) Parts() []runner.Part {
+	return []runner.Part{
+		runner.NewPart("journal", wait, func(context.Context) error { return s.closeJournal() }),
+		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
+		runner.NewPart("operators", s.serve, s.http.Shutdown),
+		runner.NewPart("timer", s.runTimer, nil),
+	}
+}
+
+func wait(ctx context.Context) error {
+	<-ctx.Done()
+
+	return nil
+}
+
+func (s *Server) closeJournal() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.failed == nil {
+		s.failed = eris.New("the controller has stopped")
+	}
+
+	return s.journal.Close()
+}
+
+func (s *Server) serve(context.Context) error {
+	s.ring.Record(tiller.NewEvent(tiller.EventStarted, "controller"))
+
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "serve")
+	}
+
+	return nil
+}
+
+func (s *Server) runTimer(ctx context.Context) error {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			s.step(controller.Tick{})
+		}
+	}
+}
+
+// Kill closes sockets and files at once, like the death of the process.
+func (s *Server) Kill() error {
+	return errors.Join(s.http.Close(), s.transport.Close(context.Background()), s.closeJournal())
+}
+
+// Address returns the controller's address.
+func (s *Server) Address() tiller.Address { return tiller.Address(s.settings.Address) }
+
+// Status returns what the controller knows.
+func (s *Server) Status() *wire.StatusReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.core.Status(s.clock.Now())
+}
+
+// Events returns the controller's time line.
+func (s *Server) Events() ([]*wire.Event, uint64) { return s.ring.Since(0) }
--- /dev/null
+++ b/controlserver/operator.go
@@ -0,0 +1,128 @@
+package controlserver
+
+import (
+	"context"
+	"errors"
+
+	"github.com/twitchtv/twirp"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/arbiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/controller"
+	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// operator answers operators.
+type operator Server
+
+var _ wire.Operator = (*operator)(nil)
+
+// Show returns the document in force and its history.
+func (o *operator) Show(context.Context, *wire.ShowRequest) (*wire.ShowReply, error) {
+	s := (*Server)(o)
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.core.Show(s.clock.Now()), nil
+}
+
+// Apply proposes an edit and waits for its outcome; when the caller gives up first, the edit may still be accepted.
+func (o *operator) Apply(ctx context.Context, e *wire.Edit) (*wire.ApplyReply, error) {
+	s := (*Server)(o)
+	token, reply := s.expect()
+	s.step(controller.Edit{Token: token, Edit: e})
+
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+	}
+
+	s.mu.Lock()
+	delete(s.waiting, token)
+	s.mu.Unlock()
+
+	return &wire.ApplyReply{
+		Verdict: tiller.VerdictMayHaveRun.String(), Advice: "no answer in time; send the same edit id again to learn the outcome",
+	}, nil
+}
+
+// expect returns a token for an edit and where its answer will come.
+func (s *Server) expect() (uint64, <-chan *wire.ApplyReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.token++
+	reply := make(chan *wire.ApplyReply, 1)
+
+	if s.failed != nil {
+		reply <- &wire.ApplyReply{
+			Verdict: tiller.VerdictNotRun.String(), Advice: "this controller's disk failed; send the same edit id to another controller",
+		}
+	} else {
+		s.waiting[s.token] = reply
+	}
+
+	return s.token, reply
+}
+
+// Status returns what the controller knows.
+func (o *operator) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
+	return (*Server)(o).Status(), nil
+}
+
+// Timeline returns the controller's events.
+func (o *operator) Timeline(_ context.Context, q *wire.TimelineRequest) (*wire.TimelineReply, error) {
+	events, dropped := o.ring.Since(recorder.Stamp(q.GetAfter()))
+
+	return &wire.TimelineReply{Events: events, Dropped: dropped}, nil
+}
+
+// Recover starts a new generation on a controller without a log from a version that the fleet still holds.
+func (o *operator) Recover(_ context.Context, q *wire.RecoverRequest) (*wire.StatusReply, error) {
+	s := (*Server)(o)
+	if err := s.recover(q); err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+
+	return s.Status(), nil
+}
+
+func (s *Server) recover(q *wire.RecoverRequest) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.core.Cluster() != "" {
+		return errors.New("this controller belongs to a cluster; start it with an empty data folder")
+	}
+
+	if faults := arbiter.CheckItems(q.GetItems()); len(faults) > 0 {
+		return errors.New("the version is not valid: " + faults[0])
+	}
+
+	// The new generation makes the version strictly greater than everything that was accepted before.
+	version := tiller.NewVersion(q.GetVersion().GetGeneration()+1, 1, encoder.Hash(q.GetItems()))
+
+	if err := s.journal.Close(); err != nil {
+		return err
+	}
+
+	if err := seed(s.settings, arbiter.NewAt(version, q.GetItems(), q.GetPlacements())); err != nil {
+		s.failed = err
+
+		return err
+	}
+
+	if err := s.open(); err != nil {
+		s.failed = err
+
+		return err
+	}
+
+	s.ring.Record(tiller.NewEvent(tiller.EventRecovered, "new generation", tiller.WithVersion(version)))
+
+	return nil
+}
--- /dev/null
+++ b/encoder/encoder.go
@@ -0,0 +1,166 @@
+// Package encoder converts a document to its canonical items and back. Equal documents give equal items and hashes.
+package encoder
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// Prefixes of item paths by kind.
+const (
+	defaultPrefix   = "default/"
+	servicePrefix   = "service/"
+	routePrefix     = "route/"
+	exceptionPrefix = "exception/"
+)
+
+// HashBytes is the length of a content hash.
+const HashBytes = 16
+
+// Encode returns the document's items ordered by path.
+func Encode(spec tiller.DocumentSpec) ([]*wire.Item, error) {
+	var (
+		items []*wire.Item
+		errs  error
+	)
+
+	add := func(path string, v any) {
+		value, err := json.Marshal(v)
+		errs = errors.Join(errs, eris.Wrapf(err, "encode %s", path))
+		items = append(items, &wire.Item{Path: path, Value: value})
+	}
+
+	for name, value := range spec.Defaults {
+		add(defaultPrefix+name, value)
+	}
+
+	for _, s := range spec.Services {
+		add(servicePrefix+s.Name, s)
+	}
+
+	for _, r := range spec.Routes {
+		add(routePrefix+r.Name, r)
+	}
+
+	for _, e := range spec.Exceptions {
+		add(exceptionPrefix+e.Name, e)
+	}
+
+	Sort(items)
+
+	return items, errs
+}
+
+// Decode returns the document that the items make up.
+func Decode(items []*wire.Item) (tiller.DocumentSpec, error) {
+	spec := tiller.DocumentSpec{Defaults: map[string]int64{}}
+
+	for _, item := range items {
+		if err := decodeItem(&spec, item); err != nil {
+			return tiller.DocumentSpec{}, eris.Wrapf(err, "decode item %q", item.GetPath())
+		}
+	}
+
+	return spec, nil
+}
+
+func decodeItem(spec *tiller.DocumentSpec, item *wire.Item) error {
+	path := item.GetPath()
+
+	switch {
+	case strings.HasPrefix(path, defaultPrefix):
+		var v int64
+		if err := unmarshal(item.GetValue(), &v); err != nil {
+			return err
+		}
+
+		spec.Defaults[strings.TrimPrefix(path, defaultPrefix)] = v
+
+		return nil
+	case strings.HasPrefix(path, servicePrefix):
+		return decodeInto(&spec.Services, item, servicePrefix, func(s tiller.ServiceSpec) string { return s.Name })
+	case strings.HasPrefix(path, routePrefix):
+		return decodeInto(&spec.Routes, item, routePrefix, func(r tiller.RouteSpec) string { return r.Name })
+	case strings.HasPrefix(path, exceptionPrefix):
+		return decodeInto(&spec.Exceptions, item, exceptionPrefix, func(e tiller.ExceptionSpec) string { return e.Name })
+	default:
+		return eris.New("unknown kind")
+	}
+}
+
+func decodeInto[T any](list *[]T, item *wire.Item, prefix string, name func(T) string) error {
+	var v T
+	if err := unmarshal(item.GetValue(), &v); err != nil {
+		return err
+	}
+
+	if prefix+name(v) != item.GetPath() {
+		return eris.Errorf("holds %q", name(v))
+	}
+
+	*list = append(*list, v)
+
+	return nil
+}
+
+func unmarshal(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+
+	if err := d.Decode(v); err != nil {
+		return eris.Wrap(err, "unmarshal")
+	}
+
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return eris.New("data after the value")
+	}
+
+	return nil
+}
+
+// Sort orders items by path.
+func Sort(items []*wire.Item) {
+	slices.SortFunc(items, func(a, b *wire.Item) int { return cmp.Compare(a.GetPath(), b.GetPath()) })
+}
+
+// Hash returns the content hash of ordered items.
+func Hash(items []*wire.Item) []byte {
+	h := sha256.New()
+
+	for _, item := range items {
+		writeSized(h, []byte(item.GetPath()))
+		writeSized(h, item.GetValue())
+	}
+
+	return h.Sum(nil)[:HashBytes]
+}
+
+func writeSized(w io.Writer, b []byte) {
+	var size [8]byte
+
+	binary.BigEndian.PutUint64(size[:], uint64(len(b)))
+	_, _ = w.Write(size[:])
+	_, _ = w.Write(b)
+}
+
+// Digest returns a short digest of one item.
+func Digest(item *wire.Item) uint64 {
+	d := xxhash.New()
+	writeSized(d, []byte(item.GetPath()))
+	writeSized(d, item.GetValue())
+
+	return d.Sum64()
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,113 @@
+// Package forwarder carries calls: from a caller to the node at the chosen worker, through that node's gate to the
+// backend server, and the whole answer back.
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// Claims decides whether a keyed request may run.
+type Claims interface {
+	// Take waits for the decision on an attempt.
+	Take(ctx context.Context, key claimer.Key, digest []byte, attempt string) claimer.Result
+	// Finish tells how the attempt ended; it does not wait.
+	Finish(key claimer.Key, digest []byte, attempt string, ran bool, answer *wire.Answer)
+}
+
+// Strikes tells the data centre of requests that were in flight when a backend server died.
+type Strikes interface {
+	// Announce waits until the data centre has heard, for a bounded time.
+	Announce(ctx context.Context, digests []quarantiner.Digest, route string)
+	// Lift clears a request that has now been served.
+	Lift(d quarantiner.Digest)
+}
+
+// Worker tells of the backend server on this VM.
+type Worker interface {
+	// Target returns where the server listens and what state it is in.
+	Target() (tiller.Address, wire.BackendState)
+	// Refused notes that the server's port refused a connection.
+	Refused()
+}
+
+// Options are the parts that a forwarder works with.
+type Options struct {
+	Name       tiller.Worker
+	DataCentre tiller.DataCentre
+	Clock      tiller.Clock
+	Table      *atomic.Pointer[Table]
+	Balancer   *balancer.Balancer
+	Gate       *limiter.Gate
+	Budget     *retrier.Budget
+	Register   *quarantiner.Register
+	Claims     Claims
+	Strikes    Strikes
+	Worker     Worker
+	Hops       Dialer
+	Backends   Dialer
+	Recorder   tiller.Recorder
+	Metrics    metrics.Registry
+}
+
+// Forwarder is the HTTP handler of a node for callers and for other nodes.
+type Forwarder struct {
+	Options
+	draining atomic.Bool
+	shedAt   atomic.Int64
+	latency  metrics.Timer
+	served   metrics.Counter
+	refused  metrics.Counter
+	retried  metrics.Counter
+}
+
+var _ http.Handler = (*Forwarder)(nil)
+
+// New returns a forwarder.
+func New(options Options) *Forwarder {
+	return &Forwarder{
+		Options: options,
+		latency: metrics.GetOrRegisterTimer("calls.latency", options.Metrics),
+		served:  metrics.GetOrRegisterCounter("calls.served", options.Metrics),
+		refused: metrics.GetOrRegisterCounter("calls.refused", options.Metrics),
+		retried: metrics.GetOrRegisterCounter("calls.retried", options.Metrics),
+	}
+}
+
+// Drain makes the gate refuse new work as not run.
+func (f *Forwarder) Drain() { f.draining.Store(true) }
+
+// ServeHTTP serves a caller, or another node that chose this worker.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(HeaderAttempt) != "" {
+		f.serveHop(w, r)
+
+		return
+	}
+
+	start := time.Now()
+	f.serveCaller(w, r)
+	f.latency.UpdateSince(start)
+}
+
+// noteShed puts at most one refusal a second on the time line.
+func (f *Forwarder) noteShed(err *tiller.CallError) {
+	now := int64(f.Clock.Now())
+	last := f.shedAt.Load()
+
+	if now >= last+int64(tiller.Second) && f.shedAt.CompareAndSwap(last, now) {
+		f.Recorder.Record(tiller.NewEvent(tiller.EventShed, err.Error()))
+	}
+}
--- /dev/null
+++ b/forwarder/header.go
@@ -0,0 +1,83 @@
+package forwarder
+
+import (
+	"net/http"
+	"strconv"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+)
+
+// Headers of calls. A backend server passes those of the chain on to the calls that it makes itself.
+const (
+	// HeaderKey carries the idempotency key of a call that may run at most once.
+	HeaderKey = "Idempotency-Key"
+	// HeaderDeadline carries the milliseconds left; part of the chain.
+	HeaderDeadline = "Tiller-Deadline-Ms"
+	// HeaderRetriesLeft carries the retries that the chain still allows; part of the chain.
+	HeaderRetriesLeft = "Tiller-Retries-Left"
+	// HeaderCause carries the id of the outermost call; part of the chain.
+	HeaderCause = "Tiller-Cause"
+	// HeaderRetriesSpent carries the retries made so far on the way back.
+	HeaderRetriesSpent = "Tiller-Retries-Spent"
+	// HeaderHome names the data centre to put in front of new idempotency keys.
+	HeaderHome = "Tiller-Home"
+	// HeaderVerdict says on every answer whether the request may have run.
+	HeaderVerdict = "Tiller-Verdict"
+	// HeaderReason says why a request was refused.
+	HeaderReason = "Tiller-Reason"
+	// HeaderWorker names the worker that answered.
+	HeaderWorker = "Tiller-Worker"
+	// HeaderVersion names the configuration version by which the call was routed.
+	HeaderVersion = "Tiller-Version"
+	// HeaderReplayed marks the first result of a keyed request that was sent again.
+	HeaderReplayed = "Tiller-Replayed"
+
+	// HeaderAttempt names an attempt between nodes.
+	HeaderAttempt = "Tiller-Attempt"
+	// HeaderClass carries the class between nodes.
+	HeaderClass = "Tiller-Class"
+	// HeaderRoute names the route between nodes.
+	HeaderRoute = "Tiller-Route"
+	// HeaderFlags carries the route's properties between nodes.
+	HeaderFlags = "Tiller-At-Most-Once"
+	// HeaderLoad carries the load of the worker on the way back between nodes.
+	HeaderLoad = "Tiller-Load"
+	// HeaderLimit carries the limit of the worker on the way back between nodes.
+	HeaderLimit = "Tiller-Limit"
+	// HeaderLength repeats the length of the whole answer between nodes.
+	HeaderLength = "Tiller-Length"
+)
+
+var hopOnly = []string{
+	HeaderAttempt, HeaderClass, HeaderRoute, HeaderFlags, HeaderLoad, HeaderLimit, HeaderLength,
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func stripHop(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range hopOnly {
+		out.Del(name)
+	}
+
+	return out
+}
+
+func headerInt(h http.Header, name string, fallback int64) int64 {
+	v, err := strconv.ParseInt(h.Get(name), 10, 64)
+	if err != nil {
+		return fallback
+	}
+
+	return v
+}
+
+func setInt(h http.Header, name string, v int64) { h.Set(name, strconv.FormatInt(v, 10)) }
+
+func parseVerdict(s string) tiller.Verdict {
+	v, err := tiller.VerdictString(s)
+	if err != nil {
+		return tiller.VerdictMayHaveRun
+	}
+
+	return v
+}
--- /dev/null
+++ b/forwarder/table.go
@@ -0,0 +1,77 @@
+package forwarder
+
+import (
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// Table is what a node routes by: one whole version and the backend servers known now. It never changes; a new one
+// replaces it.
+type Table struct {
+	version    tiller.Version
+	document   tiller.Document
+	candidates map[tiller.Service][]balancer.Candidate
+	settings   map[tiller.Service]compiler.Effective
+	own        compiler.Effective
+}
+
+// NewTable compiles a document and the membership for a node's place. Only services that the document declares and
+// that some node has announced get candidates.
+func NewTable(version tiller.Version, d tiller.Document, place tiller.Place, entries []*wire.NodeEntry) *Table {
+	t := &Table{
+		version: version, document: d, candidates: map[tiller.Service][]balancer.Candidate{},
+		settings: map[tiller.Service]compiler.Effective{}, own: compiler.Compile(d, place),
+	}
+
+	for _, s := range d.Services() {
+		t.settings[s] = compiler.Compile(d, tiller.NewPlace(place.DataCentre(), s, ""))
+	}
+
+	for _, e := range entries {
+		t.add(e)
+	}
+
+	return t
+}
+
+func (t *Table) add(e *wire.NodeEntry) {
+	b := tiller.BackendOf(e)
+	if _, declared := t.settings[b.Service()]; !declared || !b.Ready() || !reachable(e) {
+		return
+	}
+
+	share := compiler.Compile(t.document, tiller.NewPlace(b.DataCentre(), b.Service(), b.Worker())).Value(tiller.SettingTrafficPercent)
+	t.candidates[b.Service()] = append(t.candidates[b.Service()], balancer.NewCandidate(b, share))
+}
+
+func reachable(e *wire.NodeEntry) bool {
+	return e.GetLiveness() == wire.Liveness_LIVENESS_ALIVE || e.GetLiveness() == wire.Liveness_LIVENESS_SUSPECT
+}
+
+// Version returns the version in force.
+func (t *Table) Version() tiller.Version { return t.version }
+
+// Candidates returns the known ready workers of a service.
+func (t *Table) Candidates(s tiller.Service) []balancer.Candidate { return t.candidates[s] }
+
+// Settings returns the settings for calls to a service.
+func (t *Table) Settings(s tiller.Service) compiler.Effective { return t.settings[s] }
+
+// Own returns the settings for this node's worker.
+func (t *Table) Own() compiler.Effective { return t.own }
+
+// Match returns the route of a call.
+func (t *Table) Match(method, path string) (tiller.Route, bool) {
+	return compiler.Match(t.document, method, path)
+}
+
+func policyOf(e compiler.Effective) balancer.Policy {
+	return balancer.Policy{
+		SlowStart:          e.Millis(tiller.SettingSlowStartMs),
+		EjectAfterFailures: int(e.Value(tiller.SettingEjectAfterFailures)),
+		EjectFor:           e.Millis(tiller.SettingEjectMs),
+		MaxEjectedPercent:  int(e.Value(tiller.SettingMaxEjectedPercent)),
+	}
+}
--- /dev/null
+++ b/journaler/journaler.go
@@ -0,0 +1,384 @@
+// Package journaler keeps a controller's write-ahead log and snapshots in one folder. Every acknowledged write is synced.
+package journaler
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	identityFile = "identity"
+	lockFile     = "lock"
+	logPrefix    = "wal-"
+	snapPrefix   = "snapshot-"
+	tempSuffix   = ".tmp"
+	fileMode     = 0o600
+	folderMode   = 0o700
+)
+
+// Journal is a write-ahead log with snapshots in a folder.
+type Journal struct {
+	folder   string
+	identity string
+	sequence uint64
+	log      *os.File
+	lock     *os.File
+	failed   error
+}
+
+var _ tiller.Journal = (*Journal)(nil)
+
+// Open locks the folder, creates what is missing and returns the stored state. Damage in the middle of a file is an
+// error that names the file and the offset; a torn tail is cut.
+func Open(folder string) (*Journal, replicator.Restored, error) {
+	var none replicator.Restored
+
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, none, eris.Wrap(err, "create data folder")
+	}
+
+	j := &Journal{folder: folder}
+	if err := j.acquire(); err != nil {
+		return nil, none, err
+	}
+
+	restored, err := j.load()
+	if err != nil {
+		return nil, none, errors.Join(err, j.Close())
+	}
+
+	return j, restored, nil
+}
+
+func (j *Journal) acquire() error {
+	f, err := os.OpenFile(filepath.Join(j.folder, lockFile), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "open lock file")
+	}
+
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return errors.Join(eris.Wrapf(err, "data folder %s is in use by another process", j.folder), f.Close())
+	}
+
+	j.lock = f
+
+	return nil
+}
+
+func (j *Journal) load() (replicator.Restored, error) {
+	var restored replicator.Restored
+
+	if err := j.loadIdentity(); err != nil {
+		return restored, err
+	}
+
+	sequence, found, err := j.newest()
+	if err != nil {
+		return restored, err
+	}
+
+	j.sequence = sequence
+	if !found {
+		return restored, j.startLog(&wire.Record{})
+	}
+
+	restored.Snapshot, err = j.readSnapshot(sequence)
+	if err != nil {
+		return restored, err
+	}
+
+	err = j.replay(&restored)
+
+	return restored, err
+}
+
+// loadIdentity reads the disk's identity; a new disk gets a new one, so that it never votes under an old identity.
+func (j *Journal) loadIdentity() error {
+	path := filepath.Join(j.folder, identityFile)
+
+	data, err := os.ReadFile(path)
+	if err == nil {
+		id, err := uuid.Parse(strings.TrimSpace(string(data)))
+		if err != nil {
+			return eris.Wrapf(err, "%s: damaged identity", path)
+		}
+
+		j.identity = id.String()
+
+		return nil
+	}
+
+	if !errors.Is(err, os.ErrNotExist) {
+		return eris.Wrap(err, "read identity")
+	}
+
+	if _, found, err := j.newest(); err != nil || found {
+		return errors.Join(err, eris.Errorf("%s is missing although the folder holds a log", path))
+	}
+
+	j.identity = uuid.NewString()
+
+	return j.writeFile(identityFile, []byte(j.identity+"\n"))
+}
+
+// newest returns the highest sequence whose log file is complete.
+func (j *Journal) newest() (sequence uint64, found bool, err error) {
+	names, err := filepath.Glob(filepath.Join(j.folder, logPrefix+"*"))
+	if err != nil {
+		return 0, false, eris.Wrap(err, "list log files")
+	}
+
+	var sequences []uint64
+
+	for _, name := range names {
+		var n uint64
+		if _, err := fmt.Sscanf(filepath.Base(name), logPrefix+"%d", &n); err == nil && !strings.HasSuffix(name, tempSuffix) {
+			sequences = append(sequences, n)
+		}
+	}
+
+	if len(sequences) == 0 {
+		return 0, false, nil
+	}
+
+	return slices.Max(sequences), true, nil
+}
+
+func (j *Journal) readSnapshot(sequence uint64) (*wire.Snapshot, error) {
+	path := j.path(snapPrefix, sequence)
+
+	data, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) && sequence == 0 {
+		return nil, nil
+	}
+
+	if err != nil {
+		return nil, eris.Wrap(err, "read snapshot")
+	}
+
+	payload, _, err := decodeFrame(data)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s: offset 0", path)
+	}
+
+	var s wire.Snapshot
+	if err := proto.Unmarshal(payload, &s); err != nil {
+		return nil, eris.Wrapf(err, "%s: offset %d", path, headerBytes)
+	}
+
+	return &s, nil
+}
+
+// replay reads the log file, cuts a torn tail and leaves the file open for appending.
+func (j *Journal) replay(restored *replicator.Restored) error {
+	path := j.path(logPrefix, j.sequence)
+
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read log")
+	}
+
+	rest := data
+	for len(rest) > 0 {
+		payload, next, err := decodeFrame(rest)
+		if errors.Is(err, errTorn) {
+			break
+		}
+
+		if err != nil {
+			return eris.Wrapf(err, "%s: offset %d: restore the disk or start this controller with an empty folder", path, len(data)-len(rest))
+		}
+
+		var r wire.Record
+		if err := proto.Unmarshal(payload, &r); err != nil {
+			return eris.Wrapf(err, "%s: offset %d", path, len(data)-len(rest))
+		}
+
+		Replay(restored, &r)
+
+		rest = next
+	}
+
+	return j.reopen(path, int64(len(data)-len(rest)))
+}
+
+func (j *Journal) reopen(path string, size int64) error {
+	f, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "open log")
+	}
+
+	if err := f.Truncate(size); err != nil {
+		return errors.Join(eris.Wrap(err, "cut torn tail"), f.Close())
+	}
+
+	if _, err := f.Seek(size, 0); err != nil {
+		return errors.Join(eris.Wrap(err, "seek log"), f.Close())
+	}
+
+	j.log = f
+
+	return eris.Wrap(f.Sync(), "sync log")
+}
+
+// Replay applies one record to the restored state.
+func Replay(restored *replicator.Restored, r *wire.Record) {
+	if r.GetHardState() != nil {
+		restored.HardState = r.GetHardState()
+	}
+
+	if r.GetTruncates() {
+		restored.Entries = slices.DeleteFunc(restored.Entries, func(e *wire.Entry) bool { return e.GetIndex() > r.GetTruncateAfter() })
+	}
+
+	restored.Entries = append(restored.Entries, r.GetEntries()...)
+}
+
+// Append writes a record and syncs it. After a failure the journal refuses all further writes, since what is on the
+// disk is unknown.
+func (j *Journal) Append(r *wire.Record) error {
+	if j.failed != nil {
+		return j.failed
+	}
+
+	payload, err := proto.Marshal(r)
+	if err != nil {
+		return eris.Wrap(err, "encode record")
+	}
+
+	if _, err := j.log.Write(encodeFrame(payload)); err != nil {
+		return j.fail(err, "write log")
+	}
+
+	if err := j.log.Sync(); err != nil {
+		return j.fail(err, "sync log")
+	}
+
+	return nil
+}
+
+func (j *Journal) fail(err error, what string) error {
+	j.failed = eris.Wrap(err, what)
+
+	return j.failed
+}
+
+// SaveSnapshot starts a new log file after the snapshot and deletes the old files.
+func (j *Journal) SaveSnapshot(s *wire.Snapshot, state *wire.HardState, tail []*wire.Entry) error {
+	if j.failed != nil {
+		return j.failed
+	}
+
+	payload, err := proto.Marshal(s)
+	if err != nil {
+		return eris.Wrap(err, "encode snapshot")
+	}
+
+	old := j.sequence
+	j.sequence++
+
+	if err := j.writeFile(filepath.Base(j.path(snapPrefix, j.sequence)), encodeFrame(payload)); err != nil {
+		return j.fail(err, "save snapshot")
+	}
+
+	if err := j.startLog(&wire.Record{HardState: state, Entries: tail}); err != nil {
+		return j.fail(err, "save snapshot")
+	}
+
+	return eris.Wrap(errors.Join(remove(j.path(logPrefix, old)), remove(j.path(snapPrefix, old))), "delete old files")
+}
+
+func (j *Journal) startLog(first *wire.Record) error {
+	payload, err := proto.Marshal(first)
+	if err != nil {
+		return eris.Wrap(err, "encode record")
+	}
+
+	frame := encodeFrame(payload)
+	path := j.path(logPrefix, j.sequence)
+
+	if err := j.writeFile(filepath.Base(path), frame); err != nil {
+		return err
+	}
+
+	if j.log != nil {
+		if err := j.log.Close(); err != nil {
+			return eris.Wrap(err, "close old log")
+		}
+	}
+
+	return j.reopen(path, int64(len(frame)))
+}
+
+// writeFile writes a synced file under a temporary name, renames it and syncs the folder.
+func (j *Journal) writeFile(name string, data []byte) error {
+	path := filepath.Join(j.folder, name)
+
+	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "create file")
+	}
+
+	_, err = f.ReadFrom(bytes.NewReader(data))
+	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return eris.Wrapf(err, "write %s", path)
+	}
+
+	if err := os.Rename(path+tempSuffix, path); err != nil {
+		return eris.Wrap(err, "rename file")
+	}
+
+	return j.syncFolder()
+}
+
+func (j *Journal) syncFolder() error {
+	d, err := os.Open(j.folder)
+	if err != nil {
+		return eris.Wrap(err, "open data folder")
+	}
+
+	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync data folder")
+}
+
+func (j *Journal) path(prefix string, sequence uint64) string {
+	return filepath.Join(j.folder, fmt.Sprintf("%s%d", prefix, sequence))
+}
+
+// Identity returns the disk's identity.
+func (j *Journal) Identity() string { return j.identity }
+
+// Close releases the files and the lock.
+func (j *Journal) Close() error {
+	var errs []error
+	if j.log != nil {
+		errs = append(errs, j.log.Close())
+	}
+
+	if j.lock != nil {
+		errs = append(errs, j.lock.Close())
+	}
+
+	return errors.Join(errs...)
+}
+
+func remove(path string) error {
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+
+	return nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,310 @@
+// Package node holds the decisions of the process on a worker's VM: membership, configuration, claims and quarantine. It
+// does no input or output.
+package node
+
+import (
+	"math/rand/v2"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/subscriber"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// Identity is what a node is told by its settings.
+type Identity struct {
+	Name        string
+	DataCentre  tiller.DataCentre
+	Address     tiller.Address
+	CallAddress tiller.Address
+	Service     tiller.Service
+	Controllers []tiller.Address
+	Seeds       []tiller.Address
+}
+
+// Effects is what the caller must do after a step.
+type Effects struct {
+	// TableChanged is set when routes may have changed.
+	TableChanged bool
+	// Messages are sent.
+	Messages []*wire.Envelope
+	// Claims are the results of claims.
+	Claims []claimer.Result
+	// Announced are the tokens of strikes that the data centre has heard.
+	Announced []uint64
+	// Events go to the time line.
+	Events []tiller.Event
+}
+
+// Event is an input of the core.
+type Event interface{ event() }
+
+// Tick tells the core that time has passed; the wall time is the latest that any process has told.
+type Tick struct{ Wall tiller.Millis }
+
+// Receive hands the core a message.
+type Receive struct {
+	Wall     tiller.Millis
+	Envelope *wire.Envelope
+}
+
+// Announce tells the state of the backend server on this VM.
+type Announce struct{ Backend detector.Backend }
+
+// TakeClaim asks for the right to run a keyed request.
+type TakeClaim struct {
+	Key     claimer.Key
+	Digest  []byte
+	Attempt string
+}
+
+// FinishClaim tells how an attempt ended.
+type FinishClaim struct {
+	Key     claimer.Key
+	Digest  []byte
+	Attempt string
+	Ran     bool
+	Answer  *wire.Answer
+}
+
+// Strike tells that requests were in flight when the backend server died.
+type Strike struct {
+	Token   uint64
+	Digests []quarantiner.Digest
+	Route   string
+}
+
+// Lift ends the quarantine of a request in the data centre.
+type Lift struct{ Digest quarantiner.Digest }
+
+// Leave tells the others that the node stops.
+type Leave struct{}
+
+func (Tick) event()        {}
+func (Receive) event()     {}
+func (Announce) event()    {}
+func (TakeClaim) event()   {}
+func (FinishClaim) event() {}
+func (Strike) event()      {}
+func (Lift) event()        {}
+func (Leave) event()       {}
+
+// Core is one node.
+type Core struct {
+	identity   Identity
+	detector   *detector.Core
+	subscriber *subscriber.Core
+	member     *claimer.Member
+	claimant   *claimer.Claimant
+	register   *quarantiner.Register
+	strikes    *announcer
+	clock      tiller.Ratchet
+	now        tiller.Millis
+	wall       tiller.Millis
+
+	out Effects
+}
+
+// New returns a node; the incarnation must grow with each start.
+func New(identity Identity, incarnation uint64, register *quarantiner.Register, random *rand.Rand) *Core {
+	self := &wire.NodeEntry{
+		Name: identity.Name, DataCentre: string(identity.DataCentre), Address: string(identity.Address),
+		CallAddress: string(identity.CallAddress), Incarnation: incarnation, Service: string(identity.Service),
+		State: wire.BackendState_BACKEND_STATE_NONE,
+	}
+
+	c := &Core{
+		identity: identity, register: register,
+		detector:   detector.New(self, identity.Seeds, random),
+		subscriber: subscriber.New(identity.Name, identity.Address, identity.DataCentre, identity.Controllers, random),
+		claimant:   claimer.NewClaimant(identity.Address),
+		strikes:    newAnnouncer(random),
+	}
+	c.member = claimer.NewMember(c.claimIdentity(), identity.Address, identity.DataCentre)
+
+	return c
+}
+
+func (c *Core) claimIdentity() string {
+	self := c.detector.Self()
+
+	return claimer.Identity(self.GetName(), self.GetIncarnation(), c.identity.Address)
+}
+
+// Step advances the node by one event.
+func (c *Core) Step(reading tiller.Millis, event Event) Effects {
+	c.now = c.clock.Advance(reading)
+	c.out = Effects{}
+
+	switch e := event.(type) {
+	case Tick:
+		c.wall = e.Wall
+		c.tick(e.Wall)
+	case Receive:
+		c.wall = e.Wall
+		c.receive(e.Wall, e.Envelope)
+	case Announce:
+		c.detect(detector.Announce{Backend: e.Backend})
+	case TakeClaim:
+		messages, results := c.claimant.Take(c.now, e.Key, e.Digest, e.Attempt)
+		c.sendClaims(messages)
+		c.out.Claims = append(c.out.Claims, results...)
+	case FinishClaim:
+		c.sendClaims(c.claimant.Finish(c.now, e.Key, e.Digest, e.Attempt, e.Ran, e.Answer))
+	case Strike:
+		c.strike(e)
+	case Lift:
+		c.lift(e.Digest)
+	case Leave:
+		c.member.Seal()
+		c.detect(detector.Leave{})
+	}
+
+	return c.out
+}
+
+func (c *Core) tick(wall tiller.Millis) {
+	c.detector.SetOffer(c.subscriber.Offer())
+	c.detect(detector.Tick{})
+	c.subscribe(subscriber.Tick{View: c.view(), ClaimEpoch: c.member.ServingEpoch()})
+
+	messages, results := c.claimant.Tick(c.now)
+	c.out.Claims = append(c.out.Claims, results...)
+	c.sendClaims(messages)
+
+	messages, events := c.member.Tick(c.now, wall, c.lost)
+	c.out.Events = append(c.out.Events, events...)
+	c.out.Messages = append(c.out.Messages, messages...)
+
+	c.out.Announced = append(c.out.Announced, c.strikes.expire(c.now)...)
+}
+
+func (c *Core) view() subscriber.View {
+	peers := c.detector.Ranked(c.identity.DataCentre)
+	v := subscriber.View{Peers: peers, Rank: c.detector.SelfRank()}
+
+	for _, e := range c.detector.Entries() {
+		if e.GetDataCentre() != string(c.identity.DataCentre) {
+			continue
+		}
+
+		if e.GetLiveness() == wire.Liveness_LIVENESS_SUSPECT || e.GetLiveness() == wire.Liveness_LIVENESS_DEAD {
+			v.Unreachable++
+		}
+	}
+
+	return v
+}
+
+// lost reports whether the process of an identity is known to have ended: it left, or a later start is known.
+func (c *Core) lost(identity string) bool {
+	name, incarnation, _, ok := claimer.ParseIdentity(identity)
+	e := c.detector.Entry(name)
+
+	if !ok || e == nil {
+		return false
+	}
+
+	left := e.GetLiveness() == wire.Liveness_LIVENESS_LEFT && e.GetIncarnation() == incarnation
+
+	return left || e.GetIncarnation() > incarnation
+}
+
+func (c *Core) detect(event detector.Event) {
+	before := c.detector.Self().GetIncarnation()
+	e := c.detector.Step(c.now, event)
+	c.out.TableChanged = c.out.TableChanged || e.Changed
+	c.out.Messages = append(c.out.Messages, e.Messages...)
+	c.out.Events = append(c.out.Events, e.Events...)
+
+	if c.detector.Self().GetIncarnation() != before {
+		c.member.SetIdentity(c.claimIdentity())
+	}
+}
+
+func (c *Core) subscribe(event subscriber.Event) {
+	e := c.subscriber.Step(c.now, event)
+	c.out.TableChanged = c.out.TableChanged || e.Applied || e.Placed
+	c.out.Messages = append(c.out.Messages, e.Messages...)
+	c.out.Events = append(c.out.Events, e.Events...)
+
+	if e.Applied {
+		c.detector.SetOffer(c.subscriber.Offer())
+	}
+
+	if e.Placed {
+		c.place()
+	}
+}
+
+func (c *Core) place() {
+	for _, p := range c.subscriber.Placements().GetPlacements() {
+		c.claimant.Place(p)
+		c.member.Place(p)
+	}
+}
+
+func (c *Core) receive(wall tiller.Millis, e *wire.Envelope) {
+	switch b := e.GetBody().(type) {
+	case *wire.Envelope_Probe, *wire.Envelope_ProbeAck:
+		c.detector.SetOffer(c.subscriber.Offer())
+		c.detect(detector.Receive{Envelope: e})
+		c.subscribe(subscriber.Receive{Envelope: e})
+	case *wire.Envelope_TablePush:
+		c.detect(detector.Receive{Envelope: e})
+	case *wire.Envelope_Claim, *wire.Envelope_ClaimFetch, *wire.Envelope_ClaimState:
+		messages, events := c.member.Receive(wall, e)
+		c.out.Events = append(c.out.Events, events...)
+		c.sendClaims(messages)
+	case *wire.Envelope_ClaimReply:
+		c.out.Claims = append(c.out.Claims, c.claimant.Receive(e)...)
+	case *wire.Envelope_Strike:
+		c.onStrike(e.GetFrom(), b.Strike)
+	case *wire.Envelope_StrikeAck:
+		c.out.Announced = append(c.out.Announced, c.strikes.ack(e.GetFrom(), b.StrikeAck.GetNonce())...)
+	default:
+		c.subscribe(subscriber.Receive{Envelope: e})
+	}
+}
+
+// sendClaims delivers claim messages to this node itself at once, since no network lies between.
+func (c *Core) sendClaims(messages []*wire.Envelope) {
+	for _, m := range messages {
+		if m.GetTo() != string(c.identity.Address) {
+			c.out.Messages = append(c.out.Messages, m)
+
+			continue
+		}
+
+		c.receive(c.wall, m)
+	}
+}
+
+// Version returns the version in force.
+func (c *Core) Version() tiller.Version { return c.subscriber.Version() }
+
+// Confirmed reports whether the source's lease covered the version in force a short while ago.
+func (c *Core) Confirmed() bool { return c.subscriber.Confirmed() }
+
+// Document returns the document in force.
+func (c *Core) Document() tiller.Document { return c.subscriber.Document() }
+
+// Items returns the items in force.
+func (c *Core) Items() []*wire.Item { return c.subscriber.Items() }
+
+// Placements returns the claim groups that the node knows.
+func (c *Core) Placements() *wire.ClaimPlacements { return c.subscriber.Placements() }
+
+// Entries returns the membership table.
+func (c *Core) Entries() []*wire.NodeEntry { return c.detector.Entries() }
+
+// Self returns the node's own entry.
+func (c *Core) Self() *wire.NodeEntry { return c.detector.Self() }
+
+// Rank returns the node's position among the nodes of its data centre.
+func (c *Core) Rank() int { return c.detector.SelfRank() }
+
+// ClaimRecords returns the number of claims that the node keeps.
+func (c *Core) ClaimRecords() int { return c.member.Records() }
--- /dev/null
+++ b/nodeserver/nodeserver.go
@@ -0,0 +1,403 @@
+// Package nodeserver runs a node: it connects the decisions of package node with sockets, timers and the call path.
+package nodeserver
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/monitor"
+	"gitlab.com/sycamoretiller/sycamoretiller/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/registrar"
+	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	tickPeriod        = 50 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
+	leaveLinger       = 500 * time.Millisecond
+	idleTimeout       = 60 * time.Second
+)
+
+// Options change how a server meets its surroundings.
+type Options struct {
+	// Filter cuts connections; nil lets everything pass.
+	Filter transporter.Filter
+	// Log takes log lines.
+	Log logr.Logger
+	// Metrics takes metrics.
+	Metrics metrics.Registry
+}
+
+// Server is a running node.
+type Server struct {
+	settings Settings
+	options  Options
+	clock    tiller.Clock
+	hybrid   *recorder.HybridClock
+	ring     *recorder.Ring
+
+	mu        sync.Mutex
+	core      *node.Core
+	registrar *registrar.Core
+	drained   bool
+
+	claims   waiters[string, claimer.Result]
+	strikes  waiters[uint64, struct{}]
+	token    atomic.Uint64
+	register *quarantiner.Register
+
+	table     atomic.Pointer[forwarder.Table]
+	balancer  *balancer.Balancer
+	gate      *limiter.Gate
+	forwarder *forwarder.Forwarder
+	transport *transporter.Transporter
+	control   *http.Server
+	calls     *http.Server
+	listeners []net.Listener
+	hops      forwarder.Dialer
+	backends  forwarder.Dialer
+}
+
+// New opens the sockets of a node.
+func New(settings Settings, options Options) (*Server, error) {
+	clock := tiller.SteadyClock()
+	hybrid := recorder.NewHybridClock(tiller.WallClock())
+	dc := tiller.DataCentre(settings.DataCentre)
+
+	s := &Server{
+		settings: settings, options: options, clock: clock, hybrid: hybrid,
+		ring: recorder.New(settings.Name, dc, hybrid), register: quarantiner.New(),
+		registrar: registrar.New(tiller.Service(settings.Service)),
+		balancer:  balancer.New(dc, newRandom()),
+		gate:      limiter.NewGate(limiter.New(limiter.Options{}), clock),
+		hops:      forwarder.NewDialer(0, hopFilter(settings, options.Filter)),
+		backends:  forwarder.NewDialer(0, nil),
+	}
+
+	s.core = node.New(node.Identity{
+		Name: settings.Name, DataCentre: dc, Address: tiller.Address(settings.Address),
+		CallAddress: tiller.Address(settings.CallAddress), Service: tiller.Service(settings.Service),
+		Controllers: transporter.Addresses(settings.Controllers), Seeds: transporter.Addresses(settings.Seeds),
+	}, uint64(time.Now().UnixMilli()), s.register, newRandom())
+
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+
+	s.buildHandlers()
+
+	return s, nil
+}
+
+// hopFilter limits the hops to other nodes like the messages.
+func hopFilter(settings Settings, filter transporter.Filter) func(tiller.Address) bool {
+	if filter == nil {
+		return nil
+	}
+
+	return func(to tiller.Address) bool { return filter(tiller.Address(settings.CallAddress), to) }
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+func (s *Server) listen() error {
+	transport, err := transporter.New(tiller.Address(s.settings.Address), s.hybrid, s.options.Filter, s.options.Metrics, s.options.Log)
+	if err != nil {
+		return err
+	}
+
+	s.transport = transport
+	transport.Attach(tiller.ReceiverFunc(func(e *wire.Envelope) {
+		s.step(node.Receive{Wall: s.hybrid.Wall(), Envelope: e})
+	}))
+
+	for _, a := range []string{s.settings.Address, s.settings.CallAddress} {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a)
+		if err != nil {
+			return errors.Join(eris.Wrap(err, "listen"), s.closeSockets())
+		}
+
+		s.listeners = append(s.listeners, l)
+	}
+
+	return nil
+}
+
+func (s *Server) closeSockets() error {
+	errs := make([]error, 0, len(s.listeners)+1)
+	errs = append(errs, s.transport.Close(context.Background()))
+
+	for _, l := range s.listeners {
+		errs = append(errs, l.Close())
+	}
+
+	return errors.Join(errs...)
+}
+
+func (s *Server) buildHandlers() {
+	s.forwarder = forwarder.New(forwarder.Options{
+		Name: tiller.Worker(s.settings.Name), DataCentre: tiller.DataCentre(s.settings.DataCentre), Clock: s.clock,
+		Table: &s.table, Balancer: s.balancer, Gate: s.gate, Budget: retrier.NewBudget(), Register: s.register,
+		Claims: (*claimDesk)(s), Strikes: (*strikeDesk)(s), Worker: (*workerDesk)(s),
+		Hops: s.hops, Backends: s.backends, Recorder: s.ring, Metrics: s.options.Metrics,
+	})
+
+	mux := http.NewServeMux()
+	mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(s.transport))
+	mux.Handle(wire.InspectorPathPrefix, wire.NewInspectorServer((*inspector)(s)))
+	mux.HandleFunc("POST /announce", s.announce)
+	monitor.Register(mux, s.options.Metrics, s.missing)
+
+	s.control = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.calls = &http.Server{Handler: s.forwarder, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// missing returns what the node lacks to serve calls.
+func (s *Server) missing() string {
+	switch {
+	case s.table.Load() == nil:
+		return "no configuration yet"
+	case s.isDrained():
+		return "leaving"
+	default:
+		return ""
+	}
+}
+
+func (s *Server) isDrained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.drained
+}
+
+// step advances the core and carries out its effects.
+func (s *Server) step(event node.Event) {
+	s.mu.Lock()
+	effects := s.core.Step(s.clock.Now(), event)
+
+	if effects.TableChanged {
+		s.rebuild()
+	}
+	s.mu.Unlock()
+
+	s.ring.Record(effects.Events...)
+	s.transport.Send(effects.Messages...)
+
+	for _, r := range effects.Claims {
+		s.claims.resolve(r.Attempt(), r)
+	}
+
+	for _, token := range effects.Announced {
+		s.strikes.resolve(token, struct{}{})
+	}
+}
+
+// rebuild replaces the routing table by one of the version and membership known now.
+func (s *Server) rebuild() {
+	if s.core.Version().IsZero() {
+		return
+	}
+
+	place := tiller.NewPlace(tiller.DataCentre(s.settings.DataCentre), tiller.Service(s.settings.Service), tiller.Worker(s.settings.Name))
+	entries := s.core.Entries()
+	table := forwarder.NewTable(s.core.Version(), s.core.Document(), place, entries)
+	s.table.Store(table)
+
+	known := tiller.NewSet[tiller.Worker]()
+	for _, e := range entries {
+		known.Add(tiller.Worker(e.GetName()))
+	}
+
+	s.balancer.Forget(known)
+	s.configureGate(table)
+}
+
+func (s *Server) configureGate(t *forwarder.Table) {
+	own := t.Own()
+	slots := s.registrar.Backend(s.clock.Now()).Slots
+
+	s.gate.Do(func(c *limiter.Core) {
+		c.Configure(limiter.Options{
+			Slots: slots, QueueLength: int(own.Value(tiller.SettingQueueLength)), QueueTimeout: own.Millis(tiller.SettingQueueTimeoutMs),
+		})
+	})
+}
+
+func (s *Server) tick() {
+	s.mu.Lock()
+	backend := s.registrar.Backend(s.clock.Now())
+
+	if s.drained {
+		backend.State = wire.BackendState_BACKEND_STATE_DRAINING
+	}
+	s.mu.Unlock()
+
+	s.announceBackend(backend)
+	s.step(node.Tick{Wall: s.hybrid.Wall()})
+	s.gate.Tick()
+}
+
+func (s *Server) announceBackend(b detector.Backend) {
+	s.mu.Lock()
+	before := s.core.Self().GetState()
+	s.mu.Unlock()
+
+	if b.State == wire.BackendState_BACKEND_STATE_NONE {
+		return
+	}
+
+	if b.State != before {
+		s.ring.Record(tiller.NewEvent(backendEvent(b.State), "backend server is "+b.State.String()))
+	}
+
+	s.step(node.Announce{Backend: b})
+}
+
+func backendEvent(state wire.BackendState) tiller.EventKind {
+	switch state {
+	case wire.BackendState_BACKEND_STATE_READY:
+		return tiller.EventReady
+	case wire.BackendState_BACKEND_STATE_DRAINING:
+		return tiller.EventDrained
+	case wire.BackendState_BACKEND_STATE_GONE:
+		return tiller.EventGone
+	default:
+		return tiller.EventAnnounced
+	}
+}
+
+// Parts returns what runs until the node stops.
+func (s *Server) Parts() []runner.Part {
+	return []runner.Part{
+		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
+		runner.NewPart("control", serve(s.control, s.listeners[0]), s.control.Shutdown),
+		runner.NewPart("timer", s.runTimer, nil),
+		runner.NewPart("calls", serve(s.calls, s.listeners[1]), s.stopCalls),
+		runner.NewPart("membership", s.join, s.leave),
+	}
+}
+
+func serve(server *http.Server, l net.Listener) func(context.Context) error {
+	return func(context.Context) error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+
+		return nil
+	}
+}
+
+func (s *Server) runTimer(ctx context.Context) error {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			s.tick()
+		}
+	}
+}
+
+func (s *Server) join(ctx context.Context) error {
+	s.ring.Record(tiller.NewEvent(tiller.EventStarted, "node of "+s.settings.Service))
+	<-ctx.Done()
+
+	return nil
+}
+
+// leave drains: peers hear of it first, then the gate refuses late work.
+func (s *Server) leave(ctx context.Context) error {
+	s.mu.Lock()
+	s.drained = true
+	s.mu.Unlock()
+
+	s.forwarder.Drain()
+	s.tick()
+
+	select {
+	case <-ctx.Done():
+	case <-time.After(leaveLinger):
+	}
+
+	return nil
+}
+
+// stopCalls waits for the calls in flight and leaves the membership.
+func (s *Server) stopCalls(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(s.settings.DrainMs)*time.Millisecond)
+	defer cancel()
+
+	err := s.calls.Shutdown(bounded)
+
+	s.step(node.Leave{})
+	s.ring.Record(tiller.NewEvent(tiller.EventStopped, "node left"))
+	s.hops.Close()
+	s.backends.Close()
+
+	return eris.Wrap(err, "calls in flight at the end of the drain time")
+}
+
+// Kill closes the sockets at once, like the death of the process.
+func (s *Server) Kill() error {
+	return errors.Join(s.calls.Close(), s.control.Close(), s.transport.Close(context.Background()))
+}
+
+// Address returns the control address.
+func (s *Server) Address() tiller.Address { return tiller.Address(s.settings.Address) }
+
+// CallAddress returns the address for calls.
+func (s *Server) CallAddress() tiller.Address { return tiller.Address(s.settings.CallAddress) }
+
+// Version returns the version in force.
+func (s *Server) Version() tiller.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.core.Version()
+}
+
+// Confirmed reports whether the source's lease covered the version in force a short while ago.
+func (s *Server) Confirmed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.core.Confirmed()
+}
+
+// Rank returns the node's position among the nodes of its data centre.
+func (s *Server) Rank() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.core.Rank()
+}
+
+// Events returns the node's time line.
+func (s *Server) Events() ([]*wire.Event, uint64) { return s.ring.Since(0) }
--- /dev/null
+++ b/option.go
@@ -0,0 +1,25 @@
+package sycamoretiller
+
+// Option is a value that may be absent.
+type Option[T any] struct {
+	value   T
+	present bool
+}
+
+// Some returns an option that holds a value.
+func Some[T any](v T) Option[T] { return Option[T]{value: v, present: true} }
+
+// None returns an empty option.
+func None[T any]() Option[T] { return Option[T]{} }
+
+// Get returns the value and whether there is one.
+func (o Option[T]) Get() (T, bool) { return o.value, o.present }
+
+// OrElse returns the value, or the given one where there is none.
+func (o Option[T]) OrElse(other T) T {
+	if o.present {
+		return o.value
+	}
+
+	return other
+}
--- /dev/null
+++ b/replicator/election.go
@@ -0,0 +1,156 @@
+package replicator
+
+import (
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+func (c *Core) resetElection() {
+	spread := int64(c.timing.electionMax - c.timing.electionMin)
+	c.electionAt = c.now + c.timing.electionMin + tiller.Millis(c.random.Int64N(spread+1))
+}
+
+// campaign asks the voters for their votes; a pre-vote leaves the term unchanged.
+func (c *Core) campaign(pre bool) {
+	c.resetElection()
+	c.leader = ""
+	c.votes = tiller.NewSet[string]()
+
+	term := c.term + 1
+	if pre {
+		c.role = RolePreCandidate
+	} else {
+		c.role = RoleCandidate
+		c.setTerm(term, c.id)
+	}
+
+	for _, m := range c.members {
+		if m.GetVoter() && m.GetId() != c.id {
+			c.send(m.GetAddress(), &wire.Envelope{Body: &wire.Envelope_VoteRequest{VoteRequest: &wire.VoteRequest{
+				Term: term, Candidate: c.id, LastIndex: c.lastIndex(), LastTerm: c.termAt(c.lastIndex()), PreVote: pre,
+			}}})
+		}
+	}
+
+	c.countVote(c.id)
+}
+
+func (c *Core) countVote(voter string) {
+	if !c.isVoter(voter) {
+		return
+	}
+
+	c.votes.Add(voter)
+
+	if c.votes.Len() < c.quorum() {
+		return
+	}
+
+	if c.role == RolePreCandidate {
+		c.campaign(false)
+
+		return
+	}
+
+	c.lead()
+}
+
+func (c *Core) lead() {
+	c.role = RoleLeader
+	c.leader = c.id
+	c.heartbeatAt = 0
+	c.progress = map[string]*progress{}
+	c.syncProgress()
+
+	for _, p := range c.progress {
+		p.acked = c.now
+	}
+
+	c.emit(tiller.EventElected, "leads term %d", c.term)
+	c.append(wire.EntryKind_ENTRY_KIND_NOOP, nil)
+	c.broadcast()
+}
+
+func (c *Core) follow(term uint64, leader string) {
+	if term > c.term {
+		c.setTerm(term, "")
+	}
+
+	c.role = RoleFollower
+	c.leader = leader
+	c.resetElection()
+}
+
+// hasLiveLeader reports whether a leader was heard so recently that its lease may hold.
+func (c *Core) hasLiveLeader() bool {
+	if c.role == RoleLeader {
+		return true
+	}
+
+	return c.leaderHeard > 0 && c.now < c.leaderHeard+c.timing.electionMin
+}
+
+func (c *Core) onVoteRequest(from string, r *wire.VoteRequest) {
+	if !c.isVoter(c.id) {
+		return
+	}
+
+	granted := c.grants(r)
+	if granted && !r.GetPreVote() {
+		if r.GetTerm() > c.term {
+			c.follow(r.GetTerm(), "")
+		}
+
+		c.setTerm(c.term, r.GetCandidate())
+		c.resetElection()
+	}
+
+	c.send(from, &wire.Envelope{Body: &wire.Envelope_VoteReply{VoteReply: &wire.VoteReply{
+		Term: max(c.term, grantedTerm(r, granted)), Voter: c.id, Granted: granted, PreVote: r.GetPreVote(),
+	}}})
+}
+
+func grantedTerm(r *wire.VoteRequest, granted bool) uint64 {
+	if granted {
+		return r.GetTerm()
+	}
+
+	return 0
+}
+
+func (c *Core) grants(r *wire.VoteRequest) bool {
+	if r.GetTerm() < c.term || c.hasLiveLeader() || !c.upToDate(r) {
+		return false
+	}
+
+	if r.GetPreVote() {
+		return r.GetTerm() > c.term
+	}
+
+	return r.GetTerm() > c.term || c.vote == "" || c.vote == r.GetCandidate()
+}
+
+func (c *Core) upToDate(r *wire.VoteRequest) bool {
+	lastTerm := c.termAt(c.lastIndex())
+	if r.GetLastTerm() != lastTerm {
+		return r.GetLastTerm() > lastTerm
+	}
+
+	return r.GetLastIndex() >= c.lastIndex()
+}
+
+func (c *Core) onVoteReply(r *wire.VoteReply) {
+	if !r.GetGranted() {
+		if r.GetTerm() > c.term {
+			c.follow(r.GetTerm(), "")
+		}
+
+		return
+	}
+
+	counts := (c.role == RolePreCandidate && r.GetPreVote() && r.GetTerm() == c.term+1) ||
+		(c.role == RoleCandidate && !r.GetPreVote() && r.GetTerm() == c.term)
+	if counts {
+		c.countVote(r.GetVoter())
+	}
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,68 @@
+// Package runner runs parts of a process together: when one ends, all are stopped in reverse order.
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// StopTimeout bounds the stopping of one part.
+const StopTimeout = 60 * time.Second
+
+// Part is something that runs until it is stopped.
+type Part struct {
+	name string
+	run  func(ctx context.Context) error
+	stop func(ctx context.Context) error
+}
+
+// NewPart returns a part; stop may be nil where the end of the run context is enough.
+func NewPart(name string, run, stop func(ctx context.Context) error) Part {
+	return Part{name: name, run: run, stop: stop}
+}
+
+// Name returns the part's name.
+func (p Part) Name() string { return p.name }
+
+// Run runs all parts until the context ends or one part fails, then stops them in reverse order.
+func Run(ctx context.Context, parts ...Part) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+
+	group, failed := errgroup.WithContext(running)
+	for _, p := range parts {
+		group.Go(func() error { return eris.Wrap(p.run(running), p.name) })
+	}
+
+	select {
+	case <-ctx.Done():
+	case <-failed.Done():
+	}
+
+	err := stopAll(context.WithoutCancel(ctx), parts)
+
+	cancel()
+
+	return errors.Join(group.Wait(), err)
+}
+
+func stopAll(ctx context.Context, parts []Part) error {
+	var errs []error
+
+	for i := len(parts) - 1; i >= 0; i-- {
+		if parts[i].stop == nil {
+			continue
+		}
+
+		bounded, cancel := context.WithTimeout(ctx, StopTimeout)
+		errs = append(errs, eris.Wrap(parts[i].stop(bounded), "stop "+parts[i].name))
+
+		cancel()
+	}
+
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/subscriber/subscriber.go
@@ -0,0 +1,416 @@
+// Package subscriber brings a node to the newest configuration version and keeps it there. A few nodes of each data
+// centre act as relays: they pull from controllers and push digests down a bounded tree; every node repairs from any
+// peer that holds a newer version. It does no input or output.
+package subscriber
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/holder"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// Timing and bounds of the distribution.
+const (
+	// RelaysPerDataCentre is how many nodes of a data centre pull from controllers.
+	RelaysPerDataCentre = 2
+	// FanOut is the number of children of a node in the tree of its data centre.
+	FanOut = 8
+	// LeasePeriod is how long a version counts as confirmed after the source's lease was seen.
+	LeasePeriod = 15 * tiller.Second
+
+	pullPeriod                    = tiller.Second
+	pullTimeout                   = tiller.Second
+	bootWindow      tiller.Millis = 400
+	reportPeriod                  = 5 * tiller.Second
+	maxBackoff                    = 10 * tiller.Second
+	maxBackoffShift               = 4
+	leaderPatience                = 3 * tiller.Second
+	laggardPatience               = 15 * tiller.Second
+	recentVersions                = 32
+	maxLaggards                   = 16
+	maxCandidates                 = 9
+	maxVersionKinds               = 8
+)
+
+// View is what the membership tells the subscriber.
+type View struct {
+	// Peers are the nodes of the data centre that are not gone, lowest rank first, this node included.
+	Peers []*wire.NodeEntry
+	// Rank is this node's position among them.
+	Rank int
+	// Unreachable counts the nodes of the data centre that are suspected or dead.
+	Unreachable int
+}
+
+// Effects is what the caller must do after a step.
+type Effects struct {
+	// Applied is set when a new version came into force.
+	Applied bool
+	// Placed is set when the claim groups changed.
+	Placed bool
+	// Messages are sent.
+	Messages []*wire.Envelope
+	// Events go to the time line.
+	Events []tiller.Event
+}
+
+// Event is an input of the core.
+type Event interface{ event() }
+
+// Tick tells the core that time has passed.
+type Tick struct {
+	View       View
+	ClaimEpoch uint64
+}
+
+// Receive hands the core a message.
+type Receive struct{ Envelope *wire.Envelope }
+
+func (Tick) event()    {}
+func (Receive) event() {}
+
+type pull struct {
+	from   string
+	target tiller.Version
+	until  tiller.Millis
+	active bool
+}
+
+type reported struct {
+	version    tiller.Version
+	at         tiller.Millis
+	claimEpoch uint64
+}
+
+// Core is one node's part in the distribution.
+type Core struct {
+	name        string
+	address     tiller.Address
+	dataCentre  tiller.DataCentre
+	controllers []string
+	random      *rand.Rand
+	clock       tiller.Ratchet
+	now         tiller.Millis
+	view        View
+	claimEpoch  uint64
+
+	holder      *holder.Holder
+	placements  *wire.ClaimPlacements
+	refused     tiller.Version
+	confirmedAt tiller.Millis
+	confirmed   bool
+
+	pulling    pull
+	best       tiller.Version
+	bestFrom   string
+	bootUntil  tiller.Millis
+	wantWhole  bool
+	wantDigest bool
+
+	leader      string
+	leaderHeard tiller.Millis
+	nextSource  int
+	pullAt      tiller.Millis
+	failures    int
+	reportAt    tiller.Millis
+	summaryAt   tiller.Millis
+	reports     map[string]reported
+	started     bool
+	wasRelay    bool
+
+	out Effects
+}
+
+// New returns a core without a configuration.
+func New(name string, address tiller.Address, dc tiller.DataCentre, controllers []tiller.Address, random *rand.Rand) *Core {
+	c := &Core{
+		name: name, address: address, dataCentre: dc, random: random, holder: holder.New(recentVersions),
+		placements: &wire.ClaimPlacements{}, reports: map[string]reported{},
+	}
+	for _, a := range controllers {
+		c.controllers = append(c.controllers, string(a))
+	}
+
+	return c
+}
+
+// Step advances the core by one event.
+func (c *Core) Step(reading tiller.Millis, event Event) Effects {
+	c.now = c.clock.Advance(reading)
+	c.out = Effects{}
+
+	switch e := event.(type) {
+	case Tick:
+		c.view = e.View
+		c.claimEpoch = e.ClaimEpoch
+		c.tick()
+	case Receive:
+		c.receive(e.Envelope)
+	}
+
+	return c.out
+}
+
+func (c *Core) tick() {
+	if !c.started {
+		c.started = true
+		c.pullAt = c.now + c.jitter(pullPeriod)
+		c.summaryAt = c.now + c.jitter(pullPeriod)
+		c.nextSource = c.random.IntN(max(len(c.controllers), 1))
+	}
+
+	if c.pulling.active && c.now >= c.pulling.until {
+		c.pulling.active = false
+		c.bestFrom = ""
+	}
+
+	c.pullBest()
+	c.updateConfirmed()
+
+	relay := c.isRelay()
+	if relay != c.wasRelay {
+		c.wasRelay = relay
+		c.emit(tiller.EventRelay, relayText(relay))
+	}
+
+	if relay && c.now >= c.pullAt {
+		c.pullFromSource()
+	}
+
+	if c.now >= c.reportAt {
+		c.report()
+	}
+
+	if c.view.Rank == 0 && c.now >= c.summaryAt {
+		c.summarize()
+	}
+}
+
+func relayText(relay bool) string {
+	if relay {
+		return "pulls from controllers"
+	}
+
+	return "no longer pulls from controllers"
+}
+
+func (c *Core) isRelay() bool { return c.view.Rank < RelaysPerDataCentre }
+
+func (c *Core) jitter(span tiller.Millis) tiller.Millis {
+	return tiller.Millis(c.random.Int64N(int64(max(span, 1))))
+}
+
+// pullFromSource asks a controller what is new; the leader's answer also confirms the version in force.
+func (c *Core) pullFromSource() {
+	if len(c.controllers) == 0 {
+		return
+	}
+
+	to := c.leader
+	if to == "" || c.now >= c.leaderHeard+leaderPatience {
+		to = c.controllers[c.nextSource%len(c.controllers)]
+		c.nextSource++
+		c.leader = ""
+	}
+
+	c.sendPull(to)
+
+	if to == c.leader {
+		c.registerElsewhere()
+	}
+
+	c.failures = min(c.failures+1, maxBackoffShift)
+	c.pullAt = c.now + c.backoff()
+}
+
+// registerElsewhere makes this relay known to the other controllers in turn, so that whoever leads next offers it new
+// versions at once.
+func (c *Core) registerElsewhere() {
+	other := c.controllers[c.nextSource%len(c.controllers)]
+	c.nextSource++
+
+	if other != c.leader {
+		c.sendPull(other)
+	}
+}
+
+// backoff waits one period after an answer and up to a bound, with full jitter, while nobody answers.
+func (c *Core) backoff() tiller.Millis {
+	if c.failures <= 1 {
+		return pullPeriod
+	}
+
+	return pullPeriod/2 + c.jitter(min(pullPeriod<<c.failures, maxBackoff))
+}
+
+func (c *Core) sendPull(to string) {
+	p := &wire.Pull{
+		Have: c.holder.Version().Wire(), DataCentre: string(c.dataCentre), Node: c.name,
+		PlacementRevision: c.placements.GetRevision(), Whole: c.wantWhole,
+	}
+	if c.wantDigest {
+		p.ItemDigests = c.holder.Digests()
+	}
+
+	c.wantWhole = false
+	c.wantDigest = false
+	c.send(to, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: p}})
+}
+
+// pullBest pulls the newest version that a peer has offered. A node without any version first waits for several offers.
+func (c *Core) pullBest() {
+	if c.pulling.active || c.bestFrom == "" || !c.best.NewerThan(c.holder.Version()) {
+		return
+	}
+
+	if c.holder.Version().IsZero() && c.now < c.bootUntil {
+		return
+	}
+
+	c.pulling = pull{from: c.bestFrom, target: c.best, until: c.now + pullTimeout, active: true}
+	c.sendPull(c.bestFrom)
+}
+
+func (c *Core) updateConfirmed() {
+	confirmed := c.Confirmed()
+	if confirmed == c.confirmed {
+		return
+	}
+
+	c.confirmed = confirmed
+	if confirmed {
+		c.emit(tiller.EventConfirmed, "the source's lease covers the version in force")
+	} else {
+		c.emit(tiller.EventUnconfirmed, "the source's lease was not seen for a while")
+	}
+}
+
+// Confirmed reports whether the source's lease covered the version in force a short while ago.
+func (c *Core) Confirmed() bool {
+	return c.confirmedAt > 0 && c.now < c.confirmedAt+LeasePeriod
+}
+
+// Offer returns the digest that the node tells its peers.
+func (c *Core) Offer() *wire.Offer {
+	return &wire.Offer{
+		Version: c.holder.Version().Wire(), Confirmed: c.Confirmed(), ConfirmedAge: int64(c.now - c.confirmedAt),
+		PlacementRevision: c.placements.GetRevision(),
+	}
+}
+
+// children returns the node's children in the tree over its data centre.
+func (c *Core) children() []*wire.NodeEntry {
+	first := min(FanOut*c.view.Rank+1, len(c.view.Peers))
+	last := min(first+FanOut, len(c.view.Peers))
+
+	return c.view.Peers[first:last]
+}
+
+func (c *Core) pushOffers() {
+	for _, e := range c.children() {
+		c.send(e.GetAddress(), &wire.Envelope{Body: &wire.Envelope_Offer{Offer: c.Offer()}})
+	}
+}
+
+// report tells the lowest-ranked node which version is in force here.
+func (c *Core) report() {
+	c.reportAt = c.now + reportPeriod
+
+	r := &wire.Report{
+		Node: c.name, Version: c.holder.Version().Wire(), Refused: c.refused.Wire(), Confirmed: c.Confirmed(), ClaimEpoch: c.claimEpoch,
+	}
+	c.reports[c.name] = reported{version: c.holder.Version(), at: c.now, claimEpoch: c.claimEpoch}
+
+	for _, e := range c.view.Peers[:min(RelaysPerDataCentre, len(c.view.Peers))] {
+		c.send(e.GetAddress(), &wire.Envelope{Body: &wire.Envelope_Report{Report: r}})
+	}
+}
+
+// summarize sends the controllers one report for the whole data centre.
+func (c *Core) summarize() {
+	c.summaryAt = c.now + pullPeriod
+	r := c.Summary()
+
+	for _, to := range c.controllers {
+		c.send(to, &wire.Envelope{Body: &wire.Envelope_DataCentreReport{DataCentreReport: r}})
+	}
+}
+
+// Summary aggregates the reports of the data centre.
+func (c *Core) Summary() *wire.DataCentreReport {
+	r := &wire.DataCentreReport{
+		DataCentre: string(c.dataCentre), Nodes: uint32(len(c.view.Peers)), Unreachable: uint32(c.view.Unreachable), Reporter: c.name,
+	}
+
+	for _, e := range c.view.Peers {
+		c.account(r, e)
+	}
+
+	return r
+}
+
+func (c *Core) account(r *wire.DataCentreReport, e *wire.NodeEntry) {
+	if len(r.GetClaimCandidates()) < maxCandidates {
+		r.ClaimCandidates = append(r.ClaimCandidates, claimer.Identity(e.GetName(), e.GetIncarnation(), tiller.Address(e.GetAddress())))
+	}
+
+	said, ok := c.reports[e.GetName()]
+	if !ok || c.now >= said.at+laggardPatience {
+		addLaggard(r, e.GetName()+": no report")
+
+		return
+	}
+
+	r.ClaimEpoch = max(r.GetClaimEpoch(), said.claimEpoch)
+	countVersion(r, said.version)
+
+	if c.holder.Version().NewerThan(said.version) {
+		addLaggard(r, e.GetName()+": "+said.version.String())
+	}
+}
+
+func addLaggard(r *wire.DataCentreReport, text string) {
+	if len(r.GetLaggards()) < maxLaggards {
+		r.Laggards = append(r.Laggards, text)
+	}
+}
+
+func countVersion(r *wire.DataCentreReport, v tiller.Version) {
+	i := slices.IndexFunc(r.GetCounts(), func(n *wire.VersionCount) bool { return tiller.VersionOf(n.GetVersion()) == v })
+	if i >= 0 {
+		r.Counts[i].Nodes++
+	} else if len(r.GetCounts()) < maxVersionKinds {
+		r.Counts = append(r.Counts, &wire.VersionCount{Version: v.Wire(), Nodes: 1})
+	}
+}
+
+func (c *Core) send(to string, e *wire.Envelope) {
+	if to == "" || to == string(c.address) {
+		return
+	}
+
+	e.From = string(c.address)
+	e.To = to
+	c.out.Messages = append(c.out.Messages, e)
+}
+
+func (c *Core) emit(kind tiller.EventKind, detail string, options ...tiller.EventOption) {
+	options = append(options, tiller.WithVersion(c.holder.Version()))
+	c.out.Events = append(c.out.Events, tiller.NewEvent(kind, detail, options...))
+}
+
+// Version returns the version in force.
+func (c *Core) Version() tiller.Version { return c.holder.Version() }
+
+// Document returns the document in force.
+func (c *Core) Document() tiller.Document { return c.holder.Document() }
+
+// Items returns the items in force.
+func (c *Core) Items() []*wire.Item { return c.holder.Items() }
+
+// Placements returns the claim groups that the node knows.
+func (c *Core) Placements() *wire.ClaimPlacements { return c.placements }
--- /dev/null
+++ b/transporter/transporter.go
@@ -0,0 +1,249 @@
+// Package transporter moves messages between processes: small ones as datagrams, large ones over TCP.
+package transporter
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	// MaxDatagramBytes is the largest message sent as a datagram.
+	MaxDatagramBytes = 1200
+	// OverheadBytes is what the headers of one datagram add on the network.
+	OverheadBytes = 28
+
+	readBufferBytes  = 64 << 10
+	deliverTimeout   = 3 * time.Second
+	deliverWorkers   = 16
+	deliverQueue     = 512
+	idleConnections  = 2
+	idleTimeout      = 30 * time.Second
+	httpOverhead     = 400
+	socketBufferSize = 4 << 20
+)
+
+// Transporter sends and receives the messages of one process.
+type Transporter struct {
+	address   tiller.Address
+	conn      *net.UDPConn
+	clock     *recorder.HybridClock
+	receiver  tiller.Receiver
+	filter    Filter
+	log       logr.Logger
+	pool      pond.Pool
+	client    *http.Client
+	mu        sync.Mutex
+	peers     map[string]wire.Peer
+	resolved  sync.Map
+	sent      metrics.Counter
+	sentBytes metrics.Counter
+	received  metrics.Counter
+	lost      metrics.Counter
+}
+
+var (
+	_ tiller.Transport = (*Transporter)(nil)
+	_ wire.Peer        = (*Transporter)(nil)
+)
+
+// Filter tells whether a message may pass between two addresses; tests and demonstrations cut networks with it.
+type Filter func(from, to tiller.Address) bool
+
+// New opens the datagram socket. The receiver is set with Attach before Run.
+func New(address tiller.Address, clock *recorder.HybridClock, filter Filter, registry metrics.Registry, log logr.Logger) (*Transporter, error) {
+	udp, err := net.ResolveUDPAddr("udp", string(address))
+	if err != nil {
+		return nil, eris.Wrapf(err, "address %s", address)
+	}
+
+	conn, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for datagrams")
+	}
+
+	// A smaller buffer than asked for only loses more datagrams in a burst.
+	_ = conn.SetReadBuffer(socketBufferSize)
+
+	return &Transporter{
+		address: address, conn: conn, clock: clock, filter: filter, log: log,
+		pool:  pond.NewPool(deliverWorkers, pond.WithQueueSize(deliverQueue), pond.WithNonBlocking(true)),
+		peers: map[string]wire.Peer{},
+		client: &http.Client{
+			Timeout:   deliverTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout},
+		},
+		sent:      metrics.GetOrRegisterCounter("control.sent_messages", registry),
+		sentBytes: metrics.GetOrRegisterCounter("control.sent_bytes", registry),
+		received:  metrics.GetOrRegisterCounter("control.received_bytes", registry),
+		lost:      metrics.GetOrRegisterCounter("control.lost_messages", registry),
+	}, nil
+}
+
+// Attach sets who takes received messages.
+func (t *Transporter) Attach(r tiller.Receiver) { t.receiver = r }
+
+// Send sends messages without waiting; a lost one is for the sender's timers.
+func (t *Transporter) Send(envelopes ...*wire.Envelope) {
+	for _, e := range envelopes {
+		t.sendOne(e)
+	}
+}
+
+func (t *Transporter) sendOne(e *wire.Envelope) {
+	if t.filter != nil && !t.filter(t.address, tiller.Address(e.GetTo())) {
+		return
+	}
+
+	stamped := &wire.Envelope{From: e.GetFrom(), To: e.GetTo(), Cluster: e.GetCluster(), Stamp: uint64(t.clock.Next()), Body: e.GetBody()}
+
+	data, err := proto.Marshal(stamped)
+	if err != nil {
+		t.lose(err, "encode message", e.GetTo())
+
+		return
+	}
+
+	t.sent.Inc(1)
+
+	if len(data) <= MaxDatagramBytes {
+		t.sendDatagram(e.GetTo(), data)
+
+		return
+	}
+
+	t.sentBytes.Inc(int64(len(data) + httpOverhead))
+
+	if _, ok := t.pool.TrySubmit(func() { t.deliver(stamped) }); !ok {
+		t.lost.Inc(1)
+	}
+}
+
+func (t *Transporter) sendDatagram(to string, data []byte) {
+	t.sentBytes.Inc(int64(len(data) + OverheadBytes))
+
+	address, err := t.resolve(to)
+	if err == nil {
+		_, err = t.conn.WriteToUDP(data, address)
+	}
+
+	if err != nil {
+		t.lose(err, "send datagram", to)
+	}
+}
+
+func (t *Transporter) resolve(to string) (*net.UDPAddr, error) {
+	if a, ok := t.resolved.Load(to); ok {
+		if udp, ok := a.(*net.UDPAddr); ok {
+			return udp, nil
+		}
+	}
+
+	a, err := net.ResolveUDPAddr("udp", to)
+	if err == nil {
+		t.resolved.Store(to, a)
+	}
+
+	return a, err
+}
+
+func (t *Transporter) deliver(e *wire.Envelope) {
+	ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
+	defer cancel()
+
+	if _, err := t.peer(e.GetTo()).Deliver(ctx, e); err != nil {
+		t.lose(err, "deliver message", e.GetTo())
+	}
+}
+
+func (t *Transporter) peer(to string) wire.Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	p := t.peers[to]
+	if p == nil {
+		p = wire.NewPeerProtobufClient("http://"+to, t.client)
+		t.peers[to] = p
+	}
+
+	return p
+}
+
+func (t *Transporter) lose(err error, what, to string) {
+	t.lost.Inc(1)
+	t.log.V(1).Info(what, "to", to, "error", err.Error())
+}
+
+// Deliver takes a message that came over TCP.
+func (t *Transporter) Deliver(_ context.Context, e *wire.Envelope) (*wire.Empty, error) {
+	t.received.Inc(int64(proto.Size(e) + httpOverhead))
+	t.take(e)
+
+	return &wire.Empty{}, nil
+}
+
+func (t *Transporter) take(e *wire.Envelope) {
+	if t.filter != nil && !t.filter(tiller.Address(e.GetFrom()), t.address) {
+		return
+	}
+
+	t.clock.Hear(recorder.Stamp(e.GetStamp()))
+
+	if t.receiver != nil {
+		t.receiver.Receive(e)
+	}
+}
+
+// Run receives datagrams until the transporter is closed.
+func (t *Transporter) Run(_ context.Context) error {
+	buffer := make([]byte, readBufferBytes)
+
+	for {
+		n, _, err := t.conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+
+		if err != nil {
+			t.log.V(1).Info("receive datagram", "error", err.Error())
+
+			continue
+		}
+
+		t.receiveDatagram(buffer[:n])
+	}
+}
+
+func (t *Transporter) receiveDatagram(data []byte) {
+	t.received.Inc(int64(len(data) + OverheadBytes))
+
+	e := &wire.Envelope{}
+	if err := proto.Unmarshal(data, e); err != nil {
+		t.log.V(1).Info("damaged datagram", "error", err.Error())
+
+		return
+	}
+
+	t.take(e)
+}
+
+// Close stops sending and receiving.
+func (t *Transporter) Close(_ context.Context) error {
+	t.pool.StopAndWait()
+	t.client.CloseIdleConnections()
+
+	return eris.Wrap(t.conn.Close(), "close datagram socket")
+}
