--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,159 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const now = tiller.Millis(100_000)
+
+func policy() balancer.Policy {
+	return balancer.Policy{SlowStart: 10_000, EjectAfterFailures: 3, EjectFor: 5000, MaxEjectedPercent: 30}
+}
+
+func entry(dc string, i int, change func(*wire.NodeEntry)) *wire.NodeEntry {
+	e := &wire.NodeEntry{
+		Name: fmt.Sprintf("%s-w%d", dc, i), DataCentre: dc, Slots: 10, State: wire.BackendState_BACKEND_STATE_READY, ReadySince: 1,
+	}
+	if change != nil {
+		change(e)
+	}
+
+	return e
+}
+
+func candidates(entries ...*wire.NodeEntry) []balancer.Candidate {
+	out := make([]balancer.Candidate, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, balancer.NewCandidate(tiller.BackendOf(e), 100))
+	}
+
+	return out
+}
+
+func newBalancer() *balancer.Balancer {
+	return balancer.New("near", rand.New(rand.NewPCG(1, 2)))
+}
+
+func none() tiller.Set[tiller.Worker] { return tiller.NewSet[tiller.Worker]() }
+
+func failed(reason tiller.Reason) *tiller.CallError {
+	return tiller.NewCallError(tiller.VerdictMayHaveRun, reason, "")
+}
+
+func TestChoice(t *testing.T) {
+	busy := func(b *balancer.Balancer, w tiller.Worker) { b.Report(now, w, 30, 10) }
+	fail := func(b *balancer.Balancer, w tiller.Worker, reason tiller.Reason, times int) {
+		for range times {
+			b.Done(now, w, failed(reason), policy())
+		}
+	}
+
+	cases := []struct {
+		name    string
+		entries []*wire.NodeEntry
+		before  func(b *balancer.Balancer)
+		never   tiller.Worker
+		always  tiller.Worker
+	}{
+		{"nearest data centre first", []*wire.NodeEntry{entry("near", 1, nil), entry("far", 1, nil)}, nil, "far-w1", "near-w1"},
+		{"spills when the near ones are full", []*wire.NodeEntry{entry("near", 1, nil), entry("far", 1, nil)}, func(b *balancer.Balancer) {
+			busy(b, "near-w1")
+		}, "near-w1", "far-w1"},
+		{"avoids the reported load", []*wire.NodeEntry{entry("near", 1, nil), entry("near", 2, nil)}, func(b *balancer.Balancer) {
+			busy(b, "near-w1")
+		}, "near-w1", ""},
+		{"not ready", []*wire.NodeEntry{entry("near", 1, nil), entry("near", 2, func(e *wire.NodeEntry) {
+			e.State = wire.BackendState_BACKEND_STATE_STARTING
+		})}, nil, "near-w2", "near-w1"},
+		{"suspected VM", []*wire.NodeEntry{entry("near", 1, nil), entry("near", 2, func(e *wire.NodeEntry) {
+			e.Liveness = wire.Liveness_LIVENESS_SUSPECT
+		})}, nil, "near-w2", "near-w1"},
+		{"unreachable node", []*wire.NodeEntry{entry("near", 1, nil), entry("near", 2, nil)}, func(b *balancer.Balancer) {
+			fail(b, "near-w2", tiller.ReasonUnreachable, 1)
+		}, "near-w2", "near-w1"},
+		{"ejected after failures in a row", []*wire.NodeEntry{
+			entry("near", 1, nil), entry("near", 2, nil), entry("near", 3, nil), entry("near", 4, nil),
+		}, func(b *balancer.Balancer) { fail(b, "near-w2", tiller.ReasonBackendFailed, 3) }, "near-w2", ""},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBalancer()
+			if tc.before != nil {
+				tc.before(b)
+			}
+
+			for range 50 {
+				got, ok := b.Pick(now, candidates(tc.entries...), none(), policy()).Get()
+				require.True(t, ok)
+				require.NotEqual(t, tc.never, got.Worker())
+
+				if tc.always != "" {
+					require.Equal(t, tc.always, got.Worker())
+				}
+
+				b.Done(now, got.Worker(), nil, policy())
+			}
+		})
+	}
+}
+
+func TestEjectionCannotEmptyAService(t *testing.T) {
+	b := newBalancer()
+
+	var entries []*wire.NodeEntry
+	for i := range 10 {
+		entries = append(entries, entry("near", i, nil))
+	}
+
+	for _, e := range entries {
+		for range 3 {
+			b.Done(now, tiller.Worker(e.GetName()), failed(tiller.ReasonBackendFailed), policy())
+		}
+	}
+
+	seen := tiller.NewSet[string]()
+
+	for range 300 {
+		got, ok := b.Pick(now, candidates(entries...), none(), policy()).Get()
+		require.True(t, ok)
+		seen.Add(string(got.Worker()))
+		b.Done(now, got.Worker(), nil, policy())
+	}
+
+	require.GreaterOrEqual(t, seen.Len(), 7, "at most 30% may be ejected")
+}
+
+func TestColdWorkerStartsSlowly(t *testing.T) {
+	b := newBalancer()
+	warm := entry("near", 1, nil)
+	cold := entry("near", 2, func(e *wire.NodeEntry) { e.ReadySince = int64(now) - 1000 })
+	counts := map[tiller.Worker]int{}
+
+	for range 22 {
+		got, _ := b.Pick(now, candidates(warm, cold), none(), policy()).Get()
+		counts[got.Worker()]++
+	}
+
+	require.Greater(t, counts["near-w1"], 5*counts["near-w2"])
+}
+
+func TestTriedAndZeroShareWorkersAreLeftOut(t *testing.T) {
+	b := newBalancer()
+	one := entry("near", 1, nil)
+	out := []balancer.Candidate{balancer.NewCandidate(tiller.BackendOf(entry("near", 2, nil)), 0)}
+
+	_, ok := b.Pick(now, out, none(), policy()).Get()
+	require.False(t, ok)
+
+	_, ok = b.Pick(now, candidates(one), tiller.NewSet[tiller.Worker]("near-w1"), policy()).Get()
+	require.False(t, ok)
+}
--- /dev/null
+++ b/cmd/tillerctl/main_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/controlserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/nodeserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+)
+
+const patience = 20 * time.Second
+
+const documentText = `
+defaults:
+  call_timeout_ms: 1000
+services:
+  - name: board
+routes: []
+exceptions:
+  - name: slow
+    scope: {worker: w1}
+    setting: call_timeout_ms
+    value: 4000
+    reason: its disk is being replaced
+`
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+
+	return l.Addr().String()
+}
+
+func run(t *testing.T, parts []runner.Part) {
+	t.Helper()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+
+	go func() { done <- runner.Run(ctx, parts...) }()
+
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
+
+// deployment runs one controller and one node and returns their addresses.
+func deployment(t *testing.T) (controller, node string) {
+	t.Helper()
+
+	c := controlserver.Settings{Name: "c1", DataCentre: "dc1", Address: freeAddress(t), DataFolder: t.TempDir(), HeartbeatMs: 20}
+	require.NoError(t, controlserver.Bootstrap(c))
+
+	cs, err := controlserver.New(c, controlserver.Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
+	require.NoError(t, err)
+	run(t, cs.Parts())
+
+	n := nodeserver.Settings{
+		Name: "w1", DataCentre: "dc1", Service: "board", Address: freeAddress(t), CallAddress: freeAddress(t), Controllers: []string{c.Address},
+	}
+	ns, err := nodeserver.New(n, nodeserver.Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
+	require.NoError(t, err)
+	run(t, ns.Parts())
+
+	require.Eventually(t, func() bool { return cs.Status().GetCurrent() }, patience, 10*time.Millisecond)
+
+	return c.Address, n.Address
+}
+
+func tillerctl(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+
+	var out bytes.Buffer
+
+	c := command()
+	c.Writer = &out
+	code := launcher.Run(context.Background(), c, append([]string{"tillerctl"}, args...))
+
+	return out.String(), code
+}
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+
+	path := filepath.Join(t.TempDir(), "document.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+
+	return path
+}
+
+func TestEditAndReadBack(t *testing.T) {
+	controller, node := deployment(t)
+	at := []string{"--controllers", controller}
+	do := func(args ...string) (string, int) { return tillerctl(t, append(at, args...)...) }
+	file := writeFile(t, documentText)
+
+	out, code := do("config", "apply", "--reason", "first", "--author", "ann", file)
+	require.Equal(t, launcher.ExitOK, code)
+
+	version := strings.TrimSpace(strings.TrimPrefix(out, "accepted as version "))
+
+	require.Eventually(t, func() bool {
+		out, code := do("status")
+
+		return code == launcher.ExitOK && strings.Contains(out, "dc1") && strings.Contains(out, version)
+	}, patience, 50*time.Millisecond)
+
+	out, code = do("config", "show")
+	require.Equal(t, launcher.ExitOK, code)
+	require.Contains(t, out, "its disk is being replaced")
+
+	out, code = do("--output", "json", "explain", "--worker", "w1")
+	require.Equal(t, launcher.ExitOK, code)
+
+	var rows []settingRow
+
+	require.NoError(t, json.Unmarshal([]byte(out), &rows))
+	require.Equal(t, settingRow{"call_timeout_ms", 4000, "ms", "exception slow: its disk is being replaced"}, rows[0])
+
+	require.Eventually(t, func() bool {
+		out, code := tillerctl(t, "explain", "--node", node, "--worker", "w1")
+
+		return code == launcher.ExitOK && strings.Contains(out, "exception slow")
+	}, patience, 50*time.Millisecond)
+
+	out, code = do("config", "diff", writeFile(t, strings.Replace(documentText, "1000", "2000", 1)))
+	require.Equal(t, launcher.ExitOK, code)
+	require.Contains(t, out, "default/call_timeout_ms")
+
+	out, code = do("config", "history")
+	require.Equal(t, launcher.ExitOK, code)
+	require.Contains(t, out, "ann")
+
+	_, code = do("config", "apply", "--reason", "late", "--base", "none", file)
+	require.Equal(t, launcher.ExitConflict, code)
+
+	out, code = tillerctl(t, "backends", "--node", node)
+	require.Equal(t, launcher.ExitOK, code)
+	require.Contains(t, out, "w1")
+
+	for _, format := range []string{"text", "jsonl", "html"} {
+		out, code = do("timeline", "--node", node, "--kind", "accepted", "--format", format)
+		require.Equal(t, launcher.ExitOK, code)
+		require.Contains(t, out, version)
+	}
+
+	_, code = do("recover", "--node", node, "--onto", controller)
+	require.Equal(t, launcher.ExitConflict, code, "a quorum is alive")
+
+	_, code = tillerctl(t, "quarantine", "list", "--node", node)
+	require.Equal(t, launcher.ExitOK, code)
+}
+
+func TestBadInput(t *testing.T) {
+	missing := writeFile(t, "defaults: {call_timeout_ms: 5}\nservices: [{name: board}]\nrouts: []\n")
+	invalid := writeFile(t, "services:\n  - name: board\nexceptions:\n  - {name: x, scope: {worker: w}, setting: attempts, value: 9, reason: ''}\n")
+	cases := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"no controllers", []string{"status"}, launcher.ExitBadInput},
+		{"host name", []string{"--controllers", "localhost:1", "status"}, launcher.ExitBadInput},
+		{"nothing answers", []string{"--controllers", "127.0.0.1:1", "status"}, launcher.ExitUnreachable},
+		{"no file", []string{"config", "check"}, launcher.ExitBadInput},
+		{"file is not there", []string{"config", "check", "/no/such/file"}, launcher.ExitBadInput},
+		{"unknown key", []string{"config", "check", missing}, launcher.ExitBadInput},
+		{"faults", []string{"config", "check", invalid}, launcher.ExitBadInput},
+		{"unknown format", []string{"timeline", "--format", "pdf"}, launcher.ExitBadInput},
+		{"unknown flag", []string{"status", "--nope"}, launcher.ExitBadInput},
+		{"bad digest", []string{"quarantine", "lift", "xyz"}, launcher.ExitBadInput},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, code := tillerctl(t, tc.args...)
+			require.Equal(t, tc.code, code)
+		})
+	}
+}
+
+func TestFaultsNameFileAndLine(t *testing.T) {
+	path := writeFile(t, `services:
+  - name: board
+exceptions:
+  - name: x
+    scope: {worker: w}
+    setting: attempts
+    value: 9
+    reason: ''
+`)
+	_, err := readDocument(path)
+	require.ErrorContains(t, err, path+":8: exceptions[0].reason")
+	require.ErrorContains(t, err, path+":6: exceptions[0].setting")
+}
--- /dev/null
+++ b/controlserver/controlserver_test.go
@@ -0,0 +1,201 @@
+package controlserver_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/controlserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/editor"
+	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const patience = 20 * time.Second
+
+// TestMain checks that stopped controllers leave no goroutines; the metrics library keeps one for its meters.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
+
+// full is a journal whose disk runs full on demand.
+type full struct {
+	tiller.Journal
+	now *bool
+}
+
+func (f full) Append(r *wire.Record) error {
+	if *f.now {
+		return errors.New("no space left on device")
+	}
+
+	return f.Journal.Append(r)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+
+	return l.Addr().String()
+}
+
+func settings(t *testing.T) controlserver.Settings {
+	t.Helper()
+
+	return controlserver.Settings{Name: "c1", DataCentre: "kigali-1", Address: freeAddress(t), DataFolder: t.TempDir(), HeartbeatMs: 20}
+}
+
+// start runs a controller until the test ends or the returned function is called.
+func start(t *testing.T, s controlserver.Settings, wrap func(tiller.Journal) tiller.Journal) (*editor.Client, func()) {
+	t.Helper()
+
+	server, err := controlserver.New(s, controlserver.Options{Log: logr.Discard(), Metrics: metrics.NewRegistry(), Wrap: wrap})
+	require.NoError(t, err)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+
+	go func() { done <- runner.Run(ctx, server.Parts()...) }()
+
+	stop := func() {
+		cancel()
+		require.NoError(t, <-done)
+	}
+
+	return editor.New([]tiller.Address{tiller.Address(s.Address)}), stop
+}
+
+func leads(t *testing.T, c *editor.Client) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		s, err := c.Status(context.Background())
+
+		return err == nil && s.GetCurrent()
+	}, patience, 10*time.Millisecond)
+}
+
+func document(value int64) tiller.DocumentSpec {
+	return tiller.DocumentSpec{Defaults: map[string]int64{"queue_length": value}, Services: []tiller.ServiceSpec{{Name: "board"}}}
+}
+
+func apply(t *testing.T, c *editor.Client, value int64) *wire.ApplyReply {
+	t.Helper()
+
+	shown, err := c.Show(context.Background())
+	require.NoError(t, err)
+
+	e, err := editor.NewEdit(document(value), tiller.VersionOf(shown.GetVersion()), "test", "a reason")
+	require.NoError(t, err)
+
+	r, err := c.Apply(context.Background(), e)
+	require.NoError(t, err)
+
+	return r
+}
+
+func TestEditSurvivesARestart(t *testing.T) {
+	s := settings(t)
+	require.NoError(t, controlserver.Bootstrap(s))
+	require.ErrorContains(t, controlserver.Bootstrap(s), "already holds a log")
+
+	c, stop := start(t, s, nil)
+	leads(t, c)
+	require.True(t, apply(t, c, 7).GetOutcome().GetAccepted())
+	stop()
+
+	c, stop = start(t, s, nil)
+	defer stop()
+
+	leads(t, c)
+
+	shown, err := c.Show(context.Background())
+	require.NoError(t, err)
+
+	spec, err := encoder.Decode(shown.GetItems())
+	require.NoError(t, err)
+	require.Equal(t, int64(7), spec.Defaults["queue_length"])
+	require.Len(t, shown.GetHistory(), 1)
+}
+
+func TestFullDiskIsAnAnswer(t *testing.T) {
+	s := settings(t)
+	require.NoError(t, controlserver.Bootstrap(s))
+
+	isFull := false
+	c, stop := start(t, s, func(j tiller.Journal) tiller.Journal { return full{Journal: j, now: &isFull} })
+
+	defer stop()
+
+	leads(t, c)
+	require.True(t, apply(t, c, 1).GetOutcome().GetAccepted())
+
+	isFull = true
+	r := apply(t, c, 2)
+	require.Nil(t, r.GetOutcome())
+	require.Equal(t, tiller.VerdictMayHaveRun.String(), r.GetVerdict())
+	require.Contains(t, r.GetAdvice(), "disk")
+}
+
+func TestDamagedLogNamesFileAndOffset(t *testing.T) {
+	s := settings(t)
+	require.NoError(t, controlserver.Bootstrap(s))
+
+	log := filepath.Join(s.DataFolder, "wal-1")
+	data, err := os.ReadFile(log)
+	require.NoError(t, err)
+
+	data[13] ^= 1
+	require.NoError(t, os.WriteFile(log, append(data, data...), 0o600))
+
+	_, err = controlserver.New(s, controlserver.Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
+	require.ErrorContains(t, err, log+": offset 0")
+}
+
+func TestRecoverStartsAGreaterGeneration(t *testing.T) {
+	s := settings(t)
+	c, stop := start(t, s, nil)
+
+	defer stop()
+
+	items, err := encoder.Encode(document(5))
+	require.NoError(t, err)
+
+	lost := tiller.NewVersion(3, 900, encoder.Hash(items))
+	placements := &wire.ClaimPlacements{Revision: 4, Placements: []*wire.ClaimPlacement{{DataCentre: "kigali-1", Epoch: 9}}}
+	onto := c.Operator(tiller.Address(s.Address))
+
+	_, err = onto.Recover(context.Background(), &wire.RecoverRequest{Version: lost.Wire(), Items: items[:1]})
+	require.ErrorContains(t, err, "not valid")
+
+	_, err = onto.Recover(context.Background(), &wire.RecoverRequest{Version: lost.Wire(), Items: items, Placements: placements})
+	require.NoError(t, err)
+	leads(t, c)
+
+	status, err := c.Status(context.Background())
+	require.NoError(t, err)
+
+	recovered := tiller.VersionOf(status.GetVersion())
+	require.True(t, recovered.NewerThan(lost))
+	require.True(t, recovered.SameContent(lost))
+	require.Equal(t, uint64(9), status.GetPlacements().GetPlacements()[0].GetEpoch())
+
+	_, err = onto.Recover(context.Background(), &wire.RecoverRequest{Version: lost.Wire(), Items: items})
+	require.ErrorContains(t, err, "belongs to a cluster")
+
+	r := apply(t, c, 6)
+	require.True(t, tiller.VersionOf(r.GetOutcome().GetVersion()).NewerThan(recovered))
+}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -60,6 +60,10 @@
 	h.Set(HeaderVerdict, err.Verdict().String())
 	h.Set(HeaderReason, err.Reason().String())
 
+	if err.Retries() > 0 {
+		setInt(h, HeaderRetriesSpent, int64(err.Retries()))
+	}
+
 	if err.RetryAfter() > 0 {
 		h.Set("Retry-After", strconv.FormatInt(int64((err.RetryAfter()+tiller.Second-1)/tiller.Second), 10))
 	}
@@ -76,7 +80,8 @@
 		return tiller.NewCallError(tiller.VerdictMayHaveRun, tiller.ReasonBackendFailed, "another node sent a refusal that cannot be read")
 	}
 
-	return tiller.NewCallError(parseVerdict(a.header.Get(HeaderVerdict)), reason, body.Detail).WithRetryAfter(tiller.Millis(body.RetryAfterMs))
+	return tiller.NewCallError(parseVerdict(a.header.Get(HeaderVerdict)), reason, body.Detail).
+		WithRetryAfter(tiller.Millis(body.RetryAfterMs)).WithRetries(retriesSpent(a.header))
 }
 
 func (a *Answer) write(w http.ResponseWriter) {
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -54,7 +54,7 @@
 
 	answer, err := f.attempt(ctx, c)
 	if err != nil {
-		f.refuse(w, err)
+		f.refuse(w, err.WithRetries(c.attempts.Spent()))
 
 		return
 	}
@@ -223,8 +223,10 @@
 	answer, err := f.send(ctx, &q, backend, c.settings.Value(tiller.SettingMaxAnswerBytes))
 	f.Balancer.Done(f.Clock.Now(), backend.Worker(), err, policyOf(c.settings))
 
-	if answer != nil {
-		c.attempts.Charge(int(max(0, headerInt(answer.header, HeaderRetriesSpent, 0))))
+	if err != nil {
+		c.attempts.Charge(err.Retries())
+	} else {
+		c.attempts.Charge(retriesSpent(answer.header))
 		answer.header.Del(HeaderRetriesSpent)
 	}
 
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,542 @@
+package forwarder_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// backendServer counts what runs and misbehaves as its handler says.
+type backendServer struct {
+	runs   atomic.Int64
+	handle http.HandlerFunc
+	server *httptest.Server
+}
+
+// fakeNode is a forwarder with fakes round it; it stands for one VM.
+type fakeNode struct {
+	name     tiller.Worker
+	backend  *backendServer
+	state    wire.BackendState
+	forward  *forwarder.Forwarder
+	server   *httptest.Server
+	table    atomic.Pointer[forwarder.Table]
+	register *quarantiner.Register
+	claims   *fakeClaims
+	mu       sync.Mutex
+	struck   []quarantiner.Digest
+	refused  atomic.Int64
+	events   atomic.Int64
+}
+
+func (n *fakeNode) Target() (tiller.Address, wire.BackendState) {
+	return tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), n.state
+}
+
+func (n *fakeNode) Refused() { n.refused.Add(1) }
+
+// Announce tells every node at once, as the nodes of one data centre do among themselves.
+func (n *fakeNode) Announce(_ context.Context, digests []quarantiner.Digest, route string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	for _, d := range digests {
+		n.register.Strike(n.forward.Clock.Now(), d, route, 1)
+	}
+
+	n.struck = append(n.struck, digests...)
+}
+
+func (n *fakeNode) Lift(d quarantiner.Digest) { n.register.Lift(d) }
+
+// fakeClaims grants each key once.
+type fakeClaims struct {
+	mu      sync.Mutex
+	owner   map[string]string
+	answers map[string]*wire.Answer
+	verdict wire.ClaimVerdict
+}
+
+func (c *fakeClaims) Take(_ context.Context, key claimer.Key, digest []byte, attempt string) claimer.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	member := claimer.NewMember("a#1@a", "a", key.Home())
+	member.Place(&wire.ClaimPlacement{DataCentre: string(key.Home()), Epoch: 1, Members: []string{"a#1@a"}})
+	member.Tick(0, 0, func(string) bool { return false })
+
+	claimant := claimer.NewClaimant("x")
+	claimant.Place(&wire.ClaimPlacement{DataCentre: string(key.Home()), Epoch: 1, Members: []string{"a#1@a"}})
+	claimant.Take(0, key, digest, attempt)
+
+	verdict := c.verdict
+
+	switch {
+	case verdict != wire.ClaimVerdict_CLAIM_VERDICT_UNSPECIFIED:
+	case c.answers[key.String()] != nil:
+		verdict = wire.ClaimVerdict_CLAIM_VERDICT_COMPLETED
+	case c.owner[key.String()] != "":
+		verdict = wire.ClaimVerdict_CLAIM_VERDICT_TAKEN
+	default:
+		c.owner[key.String()] = attempt
+		verdict = wire.ClaimVerdict_CLAIM_VERDICT_GRANTED
+	}
+
+	return claimant.Receive(&wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: &wire.ClaimReply{
+		Key: key.String(), Attempt: attempt, Phase: wire.ClaimPhase_CLAIM_PHASE_TAKE, Verdict: verdict, Member: "a#1@a",
+		Answer: c.answers[key.String()],
+	}}})[0]
+}
+
+func (c *fakeClaims) Finish(key claimer.Key, _ []byte, attempt string, ran bool, answer *wire.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	switch {
+	case c.owner[key.String()] != attempt:
+	case ran:
+		c.answers[key.String()] = answer
+	default:
+		delete(c.owner, key.String())
+	}
+}
+
+const centre = tiller.DataCentre("kigali-1")
+
+func document(t *testing.T) tiller.Document {
+	t.Helper()
+
+	d, faults := validator.Validate(tiller.DocumentSpec{
+		Defaults: map[string]int64{"max_answer_bytes": 4096, "max_request_bytes": 4096, "retry_budget_percent": 100, "call_timeout_ms": 5000},
+		Services: []tiller.ServiceSpec{{Name: "board"}, {Name: "empty"}},
+		Routes: []tiller.RouteSpec{
+			{Name: "browse", Method: "GET", PathPrefix: "/calls", Service: "board", Class: "interactive", Idempotent: true},
+			{Name: "change", Method: "PUT", PathPrefix: "/calls", Service: "board", Class: "interactive"},
+			{Name: "short", Method: "GET", PathPrefix: "/short", Service: "board", Class: "interactive", TimeoutMs: 150},
+			{Name: "submit", Method: "POST", PathPrefix: "/auditions", Service: "board", Class: "interactive", AtMostOnce: true},
+			{Name: "nobody", Method: "GET", PathPrefix: "/empty", Service: "empty", Class: "patient", Idempotent: true},
+		},
+	})
+	require.Empty(t, faults)
+
+	return d
+}
+
+// newNodes starts nodes that know each other and share claims and strikes.
+func newNodes(t *testing.T, handlers ...http.HandlerFunc) []*fakeNode {
+	t.Helper()
+
+	nodes := make([]*fakeNode, 0, len(handlers))
+	register := quarantiner.New()
+	claims := &fakeClaims{owner: map[string]string{}, answers: map[string]*wire.Answer{}}
+
+	for i, h := range handlers {
+		nodes = append(nodes, newNode(t, i, h, register, claims))
+	}
+
+	var entries []*wire.NodeEntry
+
+	for _, n := range nodes {
+		entries = append(entries, &wire.NodeEntry{
+			Name: string(n.name), DataCentre: string(centre), CallAddress: strings.TrimPrefix(n.server.URL, "http://"), Service: "board",
+			State: wire.BackendState_BACKEND_STATE_READY, Slots: 32,
+		})
+	}
+
+	for _, n := range nodes {
+		place := tiller.NewPlace(centre, "board", n.name)
+		n.table.Store(forwarder.NewTable(tiller.NewVersion(1, 2, []byte("hash")), document(t), place, entries))
+	}
+
+	return nodes
+}
+
+func newNode(t *testing.T, i int, h http.HandlerFunc, register *quarantiner.Register, claims *fakeClaims) *fakeNode {
+	t.Helper()
+
+	b := &backendServer{handle: h}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.runs.Add(1)
+		b.handle(w, r)
+	}))
+	t.Cleanup(b.server.Close)
+
+	n := &fakeNode{
+		name: tiller.Worker("w" + string(rune('0'+i))), backend: b, state: wire.BackendState_BACKEND_STATE_READY, register: register, claims: claims,
+	}
+	clock := tiller.SteadyClock()
+	n.forward = forwarder.New(forwarder.Options{
+		Name: n.name, DataCentre: centre, Clock: clock, Table: &n.table, Balancer: balancer.New(centre, rand.New(rand.NewPCG(1, uint64(i)))),
+		Gate:   limiter.NewGate(limiter.New(limiter.Options{Slots: 32, QueueLength: 4, QueueTimeout: tiller.Second}), clock),
+		Budget: retrier.NewBudget(), Register: register, Claims: claims, Strikes: n, Worker: n, Hops: forwarder.NewDialer(0, nil),
+		Backends: forwarder.NewDialer(0, nil), Metrics: metrics.NewRegistry(),
+		Recorder: tiller.RecorderFunc(func(events ...tiller.Event) { n.events.Add(int64(len(events))) }),
+	})
+	n.server = httptest.NewServer(n.forward)
+	t.Cleanup(n.server.Close)
+
+	return n
+}
+
+func runs(nodes []*fakeNode) int {
+	total := 0
+	for _, n := range nodes {
+		total += int(n.backend.runs.Load())
+	}
+
+	return total
+}
+
+type answer struct {
+	status  int
+	verdict string
+	reason  string
+	body    string
+	header  http.Header
+}
+
+func send(t *testing.T, n *fakeNode, method, path, key, body string) answer {
+	t.Helper()
+
+	r, err := http.NewRequest(method, n.server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+
+	if key != "" {
+		r.Header.Set(forwarder.HeaderKey, key)
+	}
+
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+
+	defer resp.Body.Close()
+
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+
+	return answer{
+		status: resp.StatusCode, verdict: resp.Header.Get(forwarder.HeaderVerdict), reason: resp.Header.Get(forwarder.HeaderReason),
+		body: string(data), header: resp.Header,
+	}
+}
+
+func ok(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "answer to "+r.URL.Path) }
+
+// die breaks the connection without an answer, like a server that crashes.
+func die(w http.ResponseWriter, _ *http.Request) { hangUp(w, "") }
+
+func hangUp(w http.ResponseWriter, sent string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+
+	_, _ = buffer.WriteString(sent)
+	_ = buffer.Flush()
+	_ = conn.Close()
+}
+
+func truncate(w http.ResponseWriter, _ *http.Request) {
+	hangUp(w, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf an answer")
+}
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(forwarder.HeaderVerdict, "not_run")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func oversized(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 10_000)) }
+
+func late(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// TestVerdicts counts at the backend servers what really ran and compares it with what the caller is told.
+func TestVerdicts(t *testing.T) {
+	const key = "kigali-1."
+
+	keyed := standin.NewKey(centre)
+	cases := []struct {
+		name    string
+		handle  http.HandlerFunc
+		method  string
+		path    string
+		key     string
+		status  int
+		verdict string
+		reason  string
+		runs    int
+	}{
+		{"whole answer", ok, "GET", "/calls/1", "", 200, "ran", "", 1},
+		{"no route", ok, "GET", "/nowhere", "", 404, "not_run", "no_route", 0},
+		{"prefix of a path element is no match", ok, "GET", "/callsign", "", 404, "not_run", "no_route", 0},
+		{"service without servers", ok, "GET", "/empty", "", 503, "not_run", "no_backend", 0},
+		{"server dies, idempotent: tried until the strikes are reached", die, "GET", "/calls/1", "", 403, "may_have_run", "quarantined", 2},
+		{"server dies, not idempotent: tried once", die, "PUT", "/calls/1", "", 502, "may_have_run", "backend_failed", 1},
+		{"server dies, keyed: tried once", die, "POST", "/auditions", keyed, 502, "may_have_run", "backend_failed", 1},
+		{"truncated answer, not idempotent", truncate, "PUT", "/calls/1", "", 502, "may_have_run", "answer_truncated", 1},
+		{"server sheds: every server is tried", shed, "PUT", "/calls/1", "", 503, "not_run", "overload", 3},
+		{"server sheds a keyed request", shed, "POST", "/auditions", keyed, 503, "not_run", "overload", 3},
+		{"oversized answer", oversized, "GET", "/calls/1", "", 502, "ran", "answer_too_large", 1},
+		{"answer later than the deadline", late, "GET", "/short", "", 504, "may_have_run", "deadline", 1},
+		{"key missing", ok, "POST", "/auditions", "", 400, "not_run", "key_missing", 0},
+		{"key without a home", ok, "POST", "/auditions", keyed[len(key):], 400, "not_run", "key_invalid", 0},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			nodes := newNodes(t, tc.handle, tc.handle, tc.handle)
+			a := send(t, nodes[0], tc.method, tc.path, tc.key, "")
+			require.Equal(t, tc.status, a.status, a.body)
+			require.Equal(t, tc.verdict, a.verdict)
+			require.Equal(t, tc.reason, a.reason)
+			require.Equal(t, tc.runs, runs(nodes))
+			require.Equal(t, string(centre), a.header.Get(forwarder.HeaderHome))
+		})
+	}
+}
+
+func TestRetryReachesAHealthyServer(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		broken http.HandlerFunc
+		method string
+		key    bool
+	}{
+		{"idempotent call after a truncated answer", truncate, "GET", false},
+		{"any call after a server shed it", shed, "PUT", false},
+		{"keyed call after a server shed it", shed, "POST", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			nodes := newNodes(t, tc.broken, tc.broken, ok)
+			path, key := "/calls/1", ""
+
+			if tc.key {
+				path, key = "/auditions", standin.NewKey(centre)
+			}
+
+			for range 2 {
+				a := send(t, nodes[0], tc.method, path, key, "")
+				require.Equal(t, 200, a.status, a.body)
+			}
+
+			if tc.key {
+				require.Equal(t, int64(1), nodes[2].backend.runs.Load(), "the resends are answered from the first result")
+			}
+		})
+	}
+}
+
+func TestResendOfAKeyThroughAnotherNode(t *testing.T) {
+	nodes := newNodes(t, ok, ok)
+	key := standin.NewKey(centre)
+	first := send(t, nodes[0], "POST", "/auditions", key, "body")
+	again := send(t, nodes[1], "POST", "/auditions", key, "body")
+	require.Equal(t, first.body, again.body)
+	require.Equal(t, "true", again.header.Get(forwarder.HeaderReplayed))
+	require.Equal(t, 1, runs(nodes))
+}
+
+func TestResendAfterTheServerDiedWhileItRan(t *testing.T) {
+	nodes := newNodes(t, die, die)
+	key := standin.NewKey(centre)
+	require.Equal(t, "may_have_run", send(t, nodes[0], "POST", "/auditions", key, "body").verdict)
+
+	for range 3 {
+		a := send(t, nodes[1], "POST", "/auditions", key, "body")
+		require.Equal(t, "may_have_run", a.verdict)
+		require.Equal(t, "in_progress", a.reason)
+	}
+
+	require.Equal(t, 1, runs(nodes))
+}
+
+func TestClaimVerdictsThatRefuse(t *testing.T) {
+	cases := []struct {
+		claim   wire.ClaimVerdict
+		verdict string
+		reason  string
+	}{
+		{wire.ClaimVerdict_CLAIM_VERDICT_FENCED, "may_have_run", "key_fenced"},
+		{wire.ClaimVerdict_CLAIM_VERDICT_MISMATCH, "not_run", "key_reused"},
+		{wire.ClaimVerdict_CLAIM_VERDICT_TAKEN, "may_have_run", "in_progress"},
+		{wire.ClaimVerdict_CLAIM_VERDICT_WRONG_EPOCH, "not_run", "claim_unavailable"},
+	}
+
+	for _, tc := range cases {
+		nodes := newNodes(t, ok)
+		nodes[0].claims.verdict = tc.claim
+		a := send(t, nodes[0], "POST", "/auditions", standin.NewKey(centre), "body")
+		require.Equal(t, tc.verdict, a.verdict)
+		require.Equal(t, tc.reason, a.reason)
+		require.Zero(t, runs(nodes))
+	}
+}
+
+func TestCrashingRequestTakesDownTwoServersResendsIncluded(t *testing.T) {
+	nodes := newNodes(t, die, die, die, die, die)
+
+	for i := range 10 {
+		send(t, nodes[i%len(nodes)], "PUT", "/calls/crash", "", "the same body")
+	}
+
+	require.Equal(t, 2, runs(nodes))
+	require.Equal(t, "not_run", send(t, nodes[3], "PUT", "/calls/crash", "", "the same body").verdict)
+	require.Equal(t, "may_have_run", send(t, nodes[3], "PUT", "/calls/crash", "", "another body").verdict)
+}
+
+func TestInnocentRequestIsClearedByASuccess(t *testing.T) {
+	crashing := atomic.Bool{}
+	crashing.Store(true)
+
+	nodes := newNodes(t, func(w http.ResponseWriter, r *http.Request) {
+		if crashing.Load() {
+			die(w, r)
+		} else {
+			ok(w, r)
+		}
+	})
+
+	for range 5 {
+		crashing.Store(true)
+		require.Equal(t, 502, send(t, nodes[0], "PUT", "/calls/1", "", "").status)
+		crashing.Store(false)
+		require.Equal(t, 200, send(t, nodes[0], "PUT", "/calls/1", "", "").status)
+	}
+}
+
+func TestDrainingWorkerRefusesAndAnotherServes(t *testing.T) {
+	nodes := newNodes(t, ok, ok, ok)
+	nodes[1].state = wire.BackendState_BACKEND_STATE_DRAINING
+	nodes[2].forward.Drain()
+
+	for range 20 {
+		require.Equal(t, 200, send(t, nodes[0], "PUT", "/calls/1", "", "").status)
+	}
+
+	require.Zero(t, nodes[1].backend.runs.Load())
+	require.Zero(t, nodes[2].backend.runs.Load())
+}
+
+func TestServerThatRefusesConnections(t *testing.T) {
+	nodes := newNodes(t, ok, ok)
+	nodes[1].backend.server.Close()
+
+	for range 10 {
+		require.Equal(t, 200, send(t, nodes[0], "PUT", "/calls/1", "", "").status)
+	}
+
+	require.Positive(t, nodes[1].refused.Load())
+}
+
+func TestAnswerOfAnotherAttemptIsNotPassedOn(t *testing.T) {
+	nodes := newNodes(t, ok)
+	forged := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(forwarder.HeaderAttempt, "another attempt")
+		w.Header().Set(forwarder.HeaderLength, "5")
+		_, _ = io.WriteString(w, "other")
+	}))
+	t.Cleanup(forged.Close)
+
+	place := tiller.NewPlace(centre, "board", nodes[0].name)
+	nodes[0].table.Store(forwarder.NewTable(tiller.NewVersion(1, 2, nil), document(t), place, []*wire.NodeEntry{{
+		Name: "liar", DataCentre: string(centre), CallAddress: strings.TrimPrefix(forged.URL, "http://"), Service: "board",
+		State: wire.BackendState_BACKEND_STATE_READY, Slots: 1,
+	}}))
+
+	a := send(t, nodes[0], "PUT", "/calls/1", "", "")
+	require.Equal(t, 502, a.status)
+	require.Equal(t, "may_have_run", a.verdict)
+}
+
+func TestSilentNodeIsNotRunAndUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	gone := l.Addr().String()
+	require.NoError(t, l.Close())
+
+	nodes := newNodes(t, ok)
+	place := tiller.NewPlace(centre, "board", nodes[0].name)
+	nodes[0].table.Store(forwarder.NewTable(tiller.NewVersion(1, 2, nil), document(t), place, []*wire.NodeEntry{{
+		Name: "gone", DataCentre: string(centre), CallAddress: gone, Service: "board", State: wire.BackendState_BACKEND_STATE_READY, Slots: 1,
+	}}))
+
+	a := send(t, nodes[0], "PUT", "/calls/1", "", "")
+	require.Equal(t, "not_run", a.verdict)
+	require.Equal(t, "unreachable", a.reason)
+
+	var body struct {
+		Verdict string `json:"verdict"`
+		Detail  string `json:"detail"`
+	}
+
+	require.NoError(t, json.Unmarshal([]byte(a.body), &body))
+	require.Equal(t, "not_run", body.Verdict)
+	require.NotEmpty(t, body.Detail)
+}
+
+// TestAmplificationAlongAChain lets a leaf fail under calls that are 13 deep and counts the calls.
+func TestAmplificationAlongAChain(t *testing.T) {
+	const depth = 13
+
+	var (
+		nodes []*fakeNode
+		calls atomic.Int64
+	)
+
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+
+		level := strings.Count(r.URL.Path, "x")
+		if level >= depth-1 {
+			shed(w, r)
+
+			return
+		}
+
+		inner, err := http.NewRequest(http.MethodGet, nodes[0].server.URL+r.URL.Path+"x", nil)
+		if err != nil {
+			panic(err)
+		}
+
+		for _, h := range []string{forwarder.HeaderDeadline, forwarder.HeaderRetriesLeft, forwarder.HeaderCause} {
+			inner.Header.Set(h, r.Header.Get(h))
+		}
+
+		resp, err := http.DefaultClient.Do(inner)
+		if err != nil {
+			panic(err)
+		}
+
+		defer resp.Body.Close()
+
+		w.Header().Set(forwarder.HeaderRetriesSpent, resp.Header.Get(forwarder.HeaderRetriesSpent))
+		w.Header().Set(forwarder.HeaderVerdict, resp.Header.Get(forwarder.HeaderVerdict))
+		w.WriteHeader(resp.StatusCode)
+	}
+	nodes = newNodes(t, handle, handle, handle, handle)
+
+	a := send(t, nodes[0], "GET", "/calls/", "", "")
+	require.Equal(t, 503, a.status)
+	require.Less(t, float64(calls.Load())/depth, 1.3, "%d calls for a chain of %d", calls.Load(), depth)
+}
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -226,7 +226,9 @@
 	}
 
 	if answer.status == http.StatusServiceUnavailable && parseVerdict(answer.header.Get(HeaderVerdict)) == tiller.VerdictNotRun {
-		return nil, notRun(tiller.ReasonOverload, "the backend server sheds load").WithRetryAfter(tiller.Second)
+		shed := notRun(tiller.ReasonOverload, "the backend server sheds load")
+
+		return nil, shed.WithRetryAfter(tiller.Second).WithRetries(retriesSpent(answer.header))
 	}
 
 	f.Strikes.Lift(d)
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -73,6 +73,10 @@
 
 func setInt(h http.Header, name string, v int64) { h.Set(name, strconv.FormatInt(v, 10)) }
 
+func retriesSpent(h http.Header) int {
+	return int(max(0, headerInt(h, HeaderRetriesSpent, 0)))
+}
+
 func parseVerdict(s string) tiller.Verdict {
 	v, err := tiller.VerdictString(s)
 	if err != nil {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -65,9 +65,7 @@
 func Run(ctx context.Context, command *cli.Command, args []string) int {
 	command.Version = Version
 	command.ExitErrHandler = func(context.Context, *cli.Command, error) {}
-	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-		return Exit(ExitBadInput, err)
-	}
+	setUsageError(command)
 
 	err := command.Run(ctx, args)
 	if err == nil {
@@ -83,6 +81,17 @@
 	return ExitFailed
 }
 
+// setUsageError gives wrong usage of a command and of all below it the exit code for bad input.
+func setUsageError(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return Exit(ExitBadInput, err)
+	}
+
+	for _, c := range command.Commands {
+		setUsageError(c)
+	}
+}
+
 // NewLog returns a structured log on standard error.
 func NewLog(verbose bool) (logr.Logger, error) {
 	config := zap.NewProductionConfig()
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,199 @@
+package limiter_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
+)
+
+// bench drives a limiter in virtual time with a backend server of fixed service time.
+type bench struct {
+	core    *limiter.Core
+	now     tiller.Millis
+	running []run
+	granted map[tiller.Class]int
+	refused map[tiller.Reason]int
+}
+
+type run struct {
+	ticket  *limiter.Ticket
+	endsAt  tiller.Millis
+	outcome limiter.Outcome
+}
+
+func newBench(o limiter.Options) *bench {
+	return &bench{core: limiter.New(o), now: 1000, granted: map[tiller.Class]int{}, refused: map[tiller.Reason]int{}}
+}
+
+// offer sends a request that takes the given time once it has a slot.
+func (b *bench) offer(class tiller.Class, deadline, takes tiller.Millis, outcome limiter.Outcome) {
+	var ticket *limiter.Ticket
+
+	started := false
+
+	ticket = b.core.Acquire(b.now, class, b.now+deadline, func(err *tiller.CallError) {
+		if err != nil {
+			b.refused[err.Reason()]++
+
+			return
+		}
+
+		started = true
+		b.granted[class]++
+
+		if ticket != nil {
+			b.running = append(b.running, run{ticket: ticket, endsAt: b.now + takes, outcome: outcome})
+		}
+	})
+	if started && (len(b.running) == 0 || b.running[len(b.running)-1].ticket != ticket) {
+		b.running = append(b.running, run{ticket: ticket, endsAt: b.now + takes, outcome: outcome})
+	}
+}
+
+func (b *bench) advance() {
+	b.now++
+
+	running := b.running
+	b.running = nil
+
+	for _, r := range running {
+		if r.endsAt > b.now {
+			b.running = append(b.running, r)
+		}
+	}
+
+	for _, r := range running {
+		if r.endsAt <= b.now {
+			b.core.Release(b.now, r.ticket, r.outcome)
+		}
+	}
+
+	b.core.Tick(b.now)
+}
+
+func TestGoodputUnderOverload(t *testing.T) {
+	const (
+		slots   = 10
+		takes   = tiller.Millis(10)
+		seconds = 5
+	)
+
+	// One request a millisecond is exactly the capacity.
+	served := func(perMillis int) map[tiller.Class]int {
+		b := newBench(limiter.Options{Slots: slots, QueueLength: 40, QueueTimeout: 500})
+		for range seconds * 1000 {
+			for i := range perMillis {
+				class := tiller.ClassInteractive
+				if i > 0 {
+					class = tiller.ClassBackground
+				}
+
+				b.offer(class, 100, takes, limiter.OutcomeServed)
+			}
+
+			b.advance()
+		}
+
+		return b.granted
+	}
+
+	one, three := served(1), served(3)
+	sum := func(m map[tiller.Class]int) int { return m[tiller.ClassInteractive] + m[tiller.ClassBackground] }
+	require.GreaterOrEqual(t, float64(sum(three)), 0.9*float64(sum(one)))
+	require.GreaterOrEqual(t, three[tiller.ClassInteractive], 95*one[tiller.ClassInteractive]/100, "background calls yield")
+}
+
+func TestRefusals(t *testing.T) {
+	o := limiter.Options{Slots: 1, QueueLength: 2, QueueTimeout: 50}
+	cases := []struct {
+		name   string
+		run    func(b *bench)
+		reason tiller.Reason
+		count  int
+	}{
+		{"full queue drops the newest of the lowest class", func(b *bench) {
+			for range 3 {
+				b.offer(tiller.ClassBackground, 1000, 100, limiter.OutcomeServed)
+			}
+
+			b.offer(tiller.ClassInteractive, 1000, 100, limiter.OutcomeServed)
+		}, tiller.ReasonOverload, 1},
+		{"wait longer than the queue timeout", func(b *bench) {
+			b.offer(tiller.ClassInteractive, 1000, 500, limiter.OutcomeServed)
+			b.offer(tiller.ClassInteractive, 1000, 500, limiter.OutcomeServed)
+
+			for range 60 {
+				b.advance()
+			}
+		}, tiller.ReasonDeadline, 1},
+		{"deadline passes in the queue", func(b *bench) {
+			b.offer(tiller.ClassInteractive, 1000, 500, limiter.OutcomeServed)
+			b.offer(tiller.ClassInteractive, 10, 500, limiter.OutcomeServed)
+
+			for range 20 {
+				b.advance()
+			}
+		}, tiller.ReasonDeadline, 1},
+		{"no slots", func(b *bench) {
+			b.core.Configure(limiter.Options{})
+			b.offer(tiller.ClassInteractive, 1000, 1, limiter.OutcomeServed)
+		}, tiller.ReasonNoBackend, 1},
+		{"leaving worker refuses all that wait", func(b *bench) {
+			for range 3 {
+				b.offer(tiller.ClassInteractive, 1000, 100, limiter.OutcomeServed)
+			}
+
+			b.core.RefuseAll(tiller.ReasonDraining, "leaving")
+		}, tiller.ReasonDraining, 2},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(o)
+			tc.run(b)
+			require.Equal(t, tc.count, b.refused[tc.reason], b.refused)
+		})
+	}
+}
+
+func TestLimitFollowsAServerThatOverstatesItsSlots(t *testing.T) {
+	b := newBench(limiter.Options{Slots: 20, QueueLength: 10, QueueTimeout: 1000})
+
+	for range 12 {
+		b.offer(tiller.ClassInteractive, 1000, 1, limiter.OutcomeShed)
+		b.advance()
+	}
+
+	require.Equal(t, 8, b.core.Limit())
+
+	for range 400 {
+		b.offer(tiller.ClassInteractive, 1000, 1, limiter.OutcomeServed)
+		b.advance()
+	}
+
+	require.Equal(t, 20, b.core.Limit())
+}
+
+func TestCallerThatGivesUpWhileItWaits(t *testing.T) {
+	clock := tiller.ClockFunc(func() tiller.Millis { return 1000 })
+	g := limiter.NewGate(limiter.New(limiter.Options{Slots: 1, QueueLength: 5, QueueTimeout: 1000}), clock)
+
+	slot, err := g.Acquire(context.Background(), tiller.ClassInteractive, 2000)
+	require.Nil(t, err)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+
+	_, err = g.Acquire(ctx, tiller.ClassInteractive, 2000)
+	require.Equal(t, tiller.VerdictNotRun, err.Verdict())
+
+	slot.Release(limiter.OutcomeServed)
+
+	load, limit := g.Load()
+	require.Zero(t, load)
+	require.Equal(t, 1, limit)
+}
--- /dev/null
+++ b/replicator/cluster_test.go
@@ -0,0 +1,251 @@
+package replicator_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
+	"gitlab.com/sycamoretiller/sycamoretiller/journaler"
+	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+
+	os.Exit(m.Run())
+}
+
+const stepMs = 20
+
+// check fails the test; rapid and testing both provide it.
+type check interface {
+	require.TestingT
+	Helper()
+}
+
+type server struct {
+	member  *wire.Member
+	core    *replicator.Core
+	disk    replicator.Restored
+	up      bool
+	skew    tiller.Millis
+	applied []*wire.Entry
+}
+
+// cluster runs controllers' cores in virtual time and checks the protocol's invariants after every step.
+type cluster struct {
+	t         check
+	net       *faultnet.Net
+	now       tiller.Millis
+	seed      uint64
+	servers   []*server
+	leaders   map[uint64]string
+	committed map[uint64]*wire.Entry
+	proposals int
+	// failDisk makes the next write of a server fail, which kills it.
+	failDisk map[int]bool
+}
+
+func newCluster(t check, seed uint64, size int) *cluster {
+	c := &cluster{
+		t: t, seed: seed, now: 1000, leaders: map[uint64]string{}, committed: map[uint64]*wire.Entry{}, failDisk: map[int]bool{},
+		net: faultnet.New(seed, faultnet.Faults{MinDelay: 1, MaxDelay: 30}),
+	}
+
+	for i := range size {
+		c.add(fmt.Sprintf("c%d", i), i == 0)
+	}
+
+	return c
+}
+
+func (c *cluster) add(name string, bootstrap bool) int {
+	i := len(c.servers)
+	s := &server{member: &wire.Member{Id: fmt.Sprintf("%s-disk%d", name, i), Name: name, Address: name}}
+
+	if bootstrap {
+		s.disk.Snapshot = replicator.Bootstrap("cluster", s.member, nil)
+		s.disk.HardState = &wire.HardState{Term: 1}
+	}
+
+	c.servers = append(c.servers, s)
+	c.start(i)
+
+	return i
+}
+
+func (c *cluster) start(i int) {
+	s := c.servers[i]
+	s.core = replicator.New(s.member.GetId(), tiller.Address(s.member.GetAddress()), replicator.NewTiming(100),
+		rand.New(rand.NewPCG(c.seed, uint64(i)+1)), s.disk)
+	s.up = true
+	s.applied = nil
+}
+
+func (c *cluster) kill(i int) { c.servers[i].up = false }
+
+// wipe replaces the disk: the controller comes back under a new identity.
+func (c *cluster) wipe(i int) int {
+	c.kill(i)
+
+	return c.add(c.servers[i].member.GetName(), false)
+}
+
+func (c *cluster) step(i int, event replicator.Event) uint64 {
+	s := c.servers[i]
+	if !s.up {
+		return 0
+	}
+
+	e := s.core.Step(c.now+s.skew, event)
+
+	if c.failDisk[i] && (e.Record != nil || e.Snapshot != nil) {
+		delete(c.failDisk, i)
+		c.kill(i)
+
+		return 0
+	}
+
+	if e.Record != nil {
+		journaler.Replay(&s.disk, e.Record)
+	}
+
+	if e.Snapshot != nil {
+		s.disk = replicator.Restored{Snapshot: e.Snapshot, HardState: s.core.HardState(), Entries: s.core.Tail()}
+	}
+
+	for _, entry := range e.Committed {
+		c.checkCommitted(entry)
+		s.applied = append(s.applied, entry)
+	}
+
+	c.net.Send(c.now, e.Messages...)
+	c.checkLeader(s)
+
+	return e.Proposed
+}
+
+func (c *cluster) checkCommitted(entry *wire.Entry) {
+	c.t.Helper()
+
+	if old := c.committed[entry.GetIndex()]; old != nil {
+		require.Equal(c.t, old.GetTerm(), entry.GetTerm(), "two entries are committed at index %d", entry.GetIndex())
+		require.Equal(c.t, old.GetData(), entry.GetData(), "two entries are committed at index %d", entry.GetIndex())
+	}
+
+	c.committed[entry.GetIndex()] = entry
+}
+
+func (c *cluster) checkLeader(s *server) {
+	c.t.Helper()
+
+	if s.core.Role() != replicator.RoleLeader {
+		return
+	}
+
+	if id, ok := c.leaders[s.core.Term()]; ok {
+		require.Equal(c.t, id, s.core.ID(), "two leaders in term %d", s.core.Term())
+	}
+
+	c.leaders[s.core.Term()] = s.core.ID()
+}
+
+// run advances virtual time and checks that at most one controller calls itself current.
+func (c *cluster) run(span tiller.Millis) {
+	c.t.Helper()
+
+	for end := c.now + span; c.now < end; c.now += stepMs {
+		for _, e := range c.net.Due(c.now) {
+			for i, s := range c.servers {
+				if s.up && s.member.GetAddress() == e.GetTo() {
+					c.step(i, replicator.Receive{Envelope: e})
+				}
+			}
+		}
+
+		current := 0
+
+		for i, s := range c.servers {
+			c.step(i, replicator.Tick{})
+			c.join(s)
+
+			if s.up && s.core.Current(c.now+s.skew) {
+				current++
+			}
+		}
+
+		require.LessOrEqual(c.t, current, 1, "two controllers are current")
+	}
+}
+
+// join asks the others to take a controller in.
+func (c *cluster) join(s *server) {
+	if !s.up || s.core.Cluster() != "" || c.now%1000 >= stepMs {
+		return
+	}
+
+	for _, o := range c.servers {
+		if o.up && o != s {
+			c.net.Send(c.now, &wire.Envelope{
+				From: s.member.GetAddress(), To: o.member.GetAddress(), Body: &wire.Envelope_Join{Join: &wire.Join{Member: s.member}},
+			})
+		}
+	}
+}
+
+func (c *cluster) leader() int {
+	for i, s := range c.servers {
+		if s.up && s.core.Current(c.now+s.skew) {
+			return i
+		}
+	}
+
+	return -1
+}
+
+func (c *cluster) voters() int {
+	i := c.leader()
+	if i < 0 {
+		return 0
+	}
+
+	n := 0
+
+	for _, m := range c.servers[i].core.Members() {
+		if m.GetVoter() {
+			n++
+		}
+	}
+
+	return n
+}
+
+// propose appends a command at the leader and returns its index, zero without a leader.
+func (c *cluster) propose() uint64 {
+	i := c.leader()
+	if i < 0 {
+		return 0
+	}
+
+	c.proposals++
+
+	return c.step(i, replicator.Propose{Data: []byte(fmt.Sprintf("command %d", c.proposals))})
+}
+
+func (c *cluster) isolate(addresses ...string) {
+	set := tiller.NewSet(addresses...)
+	c.net.Cut(func(from, to string) bool { return set.Has(from) != set.Has(to) })
+}
+
+func (c *cluster) address(i int) string { return c.servers[i].member.GetAddress() }
--- /dev/null
+++ b/replicator/replicator_test.go
@@ -0,0 +1,274 @@
+package replicator_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
+	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// threeVoters returns a cluster that has grown to three voters.
+func threeVoters(t check) *cluster {
+	c := newCluster(t, 1, 3)
+	c.run(10 * tiller.Second)
+	require.Equal(t, 3, c.voters())
+
+	return c
+}
+
+func TestGrowsByLearnersThatCatchUp(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.run(3 * tiller.Second)
+
+	for range 50 {
+		require.NotZero(t, c.propose())
+	}
+
+	c.add("c1", false)
+	c.add("c2", false)
+	c.run(10 * tiller.Second)
+	require.Equal(t, 3, c.voters())
+
+	for _, s := range c.servers {
+		require.Equal(t, c.servers[0].core.Commit(), s.core.Commit())
+	}
+}
+
+func TestLeaderLoss(t *testing.T) {
+	const committedSpan = 500
+
+	cases := []struct {
+		name string
+		// fail brings the fault about around a proposal and returns whether the proposal must survive.
+		fail func(c *cluster, leader int) bool
+	}{
+		{"before the entry is durable", func(c *cluster, leader int) bool {
+			c.failDisk[leader] = true
+			c.propose()
+
+			return false
+		}},
+		{"after the entry is durable but before it is sent", func(c *cluster, leader int) bool {
+			c.isolate(c.address(leader))
+			c.propose()
+			c.kill(leader)
+
+			return false
+		}},
+		{"after the entry was sent but before any answer", func(c *cluster, leader int) bool {
+			c.propose()
+			c.kill(leader)
+
+			return false
+		}},
+		{"after the commit", func(c *cluster, leader int) bool {
+			c.propose()
+			c.run(committedSpan)
+			c.kill(leader)
+
+			return true
+		}},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := threeVoters(t)
+			old := c.leader()
+			before := c.servers[old].core.Commit()
+			survives := tc.fail(c, old)
+
+			c.run(5 * tiller.Second)
+			c.net.Cut(nil)
+
+			leader := c.leader()
+			require.NotEqual(t, -1, leader)
+			require.NotEqual(t, old, leader)
+
+			if survives {
+				require.Contains(t, c.committed, before+1)
+			}
+
+			c.start(old)
+			require.NotZero(t, c.propose())
+			c.run(5 * tiller.Second)
+			require.Equal(t, c.servers[leader].core.Commit(), c.servers[old].core.Commit())
+		})
+	}
+}
+
+func TestIsolatedLeaderStopsBeingCurrentWithinTheLease(t *testing.T) {
+	c := threeVoters(t)
+	old := c.leader()
+	c.isolate(c.address(old))
+	c.run(replicator.NewTiming(100).Lease() + 2*stepMs)
+	require.False(t, c.servers[old].core.Current(c.now))
+
+	c.run(5 * tiller.Minute)
+	require.NotEqual(t, old, c.leader())
+	require.NotEqual(t, -1, c.leader())
+
+	term := c.servers[c.leader()].core.Term()
+
+	c.net.Cut(nil)
+	c.run(5 * tiller.Second)
+	require.Equal(t, term, c.servers[c.leader()].core.Term(), "the returning controller must not disturb the leader")
+}
+
+func TestWipedDiskGetsANewIdentityAndTheOldOneIsRetired(t *testing.T) {
+	c := threeVoters(t)
+	victim := (c.leader() + 1) % 3
+	fresh := c.wipe(victim)
+	c.run(10 * tiller.Second)
+	require.Equal(t, 3, c.voters())
+
+	for _, m := range c.servers[c.leader()].core.Members() {
+		require.NotEqual(t, c.servers[victim].member.GetId(), m.GetId())
+	}
+
+	require.NotEmpty(t, c.servers[fresh].core.Cluster())
+}
+
+func TestSecondVoterLostRightAfterTheFirstWasReplaced(t *testing.T) {
+	c := threeVoters(t)
+	index := c.propose()
+	c.run(tiller.Second)
+
+	leader := c.leader()
+	fresh := c.wipe((leader + 1) % 3)
+	c.run(10 * tiller.Second)
+	require.Equal(t, 3, c.voters())
+
+	c.kill((leader + 2) % 3)
+	c.run(5 * tiller.Second)
+	require.NotZero(t, c.propose(), "two of three voters are a quorum")
+	c.run(tiller.Second)
+	require.Contains(t, c.committed, index)
+	require.Equal(t, c.servers[leader].core.Commit(), c.servers[fresh].core.Commit())
+}
+
+func TestWipedDiskDoesNotVoteUnderItsOldIdentity(t *testing.T) {
+	c := threeVoters(t)
+	leader := c.leader()
+	c.kill(leader)
+	c.wipe((leader + 1) % 3)
+	c.run(30 * tiller.Second)
+	require.Equal(t, -1, c.leader(), "one voter and a wiped disk are no quorum of three")
+}
+
+func TestClockJumpsBreakNothing(t *testing.T) {
+	for _, jump := range []tiller.Millis{-tiller.Hour, tiller.Hour} {
+		c := threeVoters(t)
+		c.servers[c.leader()].skew = jump
+		c.run(5 * tiller.Second)
+		require.NotZero(t, c.propose())
+
+		other := (c.leader() + 1) % 3
+		c.servers[other].skew = -jump
+		c.run(5 * tiller.Second)
+		require.NotEqual(t, -1, c.leader())
+		require.NotZero(t, c.propose())
+		c.run(5 * tiller.Second)
+		require.Len(t, c.committed, int(c.servers[other].core.Commit()-1))
+	}
+}
+
+func TestFollowerFarBehindTakesTheSnapshot(t *testing.T) {
+	c := threeVoters(t)
+	leader := c.leader()
+	behind := (leader + 1) % 3
+	c.kill(behind)
+
+	for range 200 {
+		require.NotZero(t, c.propose())
+		c.run(stepMs)
+	}
+
+	c.run(tiller.Second)
+	c.step(leader, replicator.Compact{Index: c.servers[leader].core.Commit(), Data: []byte("state")})
+	c.start(behind)
+	c.run(5 * tiller.Second)
+	require.Equal(t, c.servers[leader].core.Commit(), c.servers[behind].core.Commit())
+	require.Equal(t, []byte("state"), c.servers[behind].disk.Snapshot.GetData())
+}
+
+func TestDelayedSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	self := &wire.Member{Id: "a", Name: "a", Address: "a", Voter: true}
+	leader := &wire.Member{Id: "b", Name: "b", Address: "b", Voter: true}
+	members := &wire.Members{Members: []*wire.Member{self, leader}}
+	disk := replicator.Restored{
+		HardState: &wire.HardState{Term: 2},
+		Snapshot:  &wire.Snapshot{Index: 1, Term: 1, Cluster: "cluster", Members: members},
+	}
+
+	for i := uint64(2); i <= 20; i++ {
+		disk.Entries = append(disk.Entries, &wire.Entry{Index: i, Term: 2})
+	}
+
+	core := replicator.New("a", "a", replicator.NewTiming(100), rand.New(rand.NewPCG(1, 1)), disk)
+	core.Step(1000, replicator.Receive{Envelope: &wire.Envelope{
+		From: "b", To: "a", Cluster: "cluster", Body: &wire.Envelope_InstallSnapshot{InstallSnapshot: &wire.InstallSnapshot{
+			Term: 2, Leader: "b", Snapshot: &wire.Snapshot{Index: 10, Term: 2, Cluster: "cluster", Members: members},
+		}},
+	}})
+
+	require.Equal(t, uint64(10), core.Commit())
+	require.Len(t, core.Tail(), 10, "a quorum may count on the entries after the snapshot")
+}
+
+// TestRandomSchedules kills, wipes at most one disk at a time, cuts and delays at random.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newCluster(rt, rapid.Uint64().Draw(rt, "seed"), 3)
+		c.run(10 * tiller.Second)
+		c.net.SetFaults(faultnet.Faults{Loss: 0.1, Double: 0.1, MinDelay: 1, MaxDelay: 150})
+
+		for range rapid.IntRange(5, 15).Draw(rt, "faults") {
+			i := rapid.IntRange(0, 2).Draw(rt, "server")
+
+			switch rapid.IntRange(0, 5).Draw(rt, "fault") {
+			case 0:
+				c.kill(i)
+			case 1:
+				if !c.servers[i].up {
+					c.start(i)
+				}
+			case 2:
+				c.isolate(c.address(i))
+			case 3:
+				c.net.Cut(nil)
+			case 4:
+				c.failDisk[i] = true
+			case 5:
+				c.propose()
+			}
+
+			c.run(tiller.Millis(rapid.IntRange(1, 100).Draw(rt, "span")) * stepMs)
+		}
+
+		c.net.Cut(nil)
+		c.net.SetFaults(faultnet.Faults{MinDelay: 1, MaxDelay: 30})
+
+		for i, s := range c.servers {
+			delete(c.failDisk, i)
+
+			if !s.up {
+				c.start(i)
+			}
+		}
+
+		c.run(10 * tiller.Second)
+		require.NotEqual(rt, -1, c.leader(), "a healed cluster elects a leader")
+		require.NotZero(rt, c.propose())
+		c.run(2 * tiller.Second)
+
+		for _, s := range c.servers {
+			require.Equal(rt, c.servers[c.leader()].core.Commit(), s.core.Commit())
+		}
+	})
+}
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,70 @@
+package retrier_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
+)
+
+func TestRetry(t *testing.T) {
+	const (
+		ran    = tiller.VerdictRan
+		maybe  = tiller.VerdictMayHaveRun
+		notRun = tiller.VerdictNotRun
+	)
+
+	cases := []struct {
+		name       string
+		idempotent bool
+		verdict    tiller.Verdict
+		reason     tiller.Reason
+		chainLeft  int
+		want       int
+	}{
+		{"not run: tried to the limit", false, notRun, tiller.ReasonOverload, 2, 2},
+		{"may have run and not idempotent", false, maybe, tiller.ReasonBackendFailed, 2, 0},
+		{"may have run and idempotent", true, maybe, tiller.ReasonBackendFailed, 2, 2},
+		{"ran", true, ran, tiller.ReasonAnswerTooLarge, 2, 0},
+		{"the chain allows one", true, maybe, tiller.ReasonBackendFailed, 1, 1},
+		{"the chain allows none", true, notRun, tiller.ReasonOverload, 0, 0},
+		{"leaving worker costs nothing", false, notRun, tiller.ReasonDraining, 0, 2},
+		{"quarantined", true, notRun, tiller.ReasonQuarantined, 2, 0},
+		{"key reused", false, notRun, tiller.ReasonKeyReused, 2, 0},
+		{"caller gave up", true, maybe, tiller.ReasonCancelled, 2, 0},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := retrier.NewCall(tc.idempotent, 3, tc.chainLeft, retrier.NewBudget())
+			err := tiller.NewCallError(tc.verdict, tc.reason, "")
+			retries := 0
+
+			for c.Begin(); c.Retry(err); c.Begin() {
+				retries++
+			}
+
+			require.Equal(t, tc.want, retries)
+		})
+	}
+}
+
+func TestBudgetBoundsRetriesOfAFailingService(t *testing.T) {
+	b := retrier.NewBudget()
+	err := tiller.NewCallError(tiller.VerdictNotRun, tiller.ReasonOverload, "")
+	retries := 0
+
+	for range 1000 {
+		b.Save(10)
+
+		c := retrier.NewCall(true, 3, 2, b)
+		for c.Begin(); c.Retry(err); c.Begin() {
+			retries++
+		}
+	}
+
+	require.LessOrEqual(t, retries, 110)
+	require.GreaterOrEqual(t, retries, 90)
+}
--- a/verdict.go
+++ b/verdict.go
@@ -54,6 +54,7 @@
 	reason     Reason
 	detail     string
 	retryAfter Millis
+	retries    int
 }
 
 // NewCallError returns an error with the verdict on the request.
@@ -69,6 +70,14 @@
 	return &c
 }
 
+// WithRetries returns a copy that tells how many retries were already made for the call, here and further down.
+func (e *CallError) WithRetries(retries int) *CallError {
+	c := *e
+	c.retries = retries
+
+	return &c
+}
+
 // Error formats the refusal.
 func (e *CallError) Error() string {
 	return fmt.Sprintf("%s (%s): %s", e.reason, e.verdict, e.detail)
@@ -86,6 +95,9 @@
 // RetryAfter returns how long the caller should wait, zero if unknown.
 func (e *CallError) RetryAfter() Millis { return e.retryAfter }
 
+// Retries returns how many retries were already made for the call.
+func (e *CallError) Retries() int { return e.retries }
+
 // VerdictOf returns the verdict that an error carries; an unknown error may have run.
 func VerdictOf(err error) Verdict {
 	if e, ok := errors.AsType[*CallError](err); ok {
