--- a/cmd/quickstart/fleet.go
+++ b/assembler/assembler.go
@@ -1,4 +1,6 @@
-package main
+// Package assembler runs a whole fleet with stand-ins in one process, each process of the fleet on a loopback address of
+// its own, for the quickstart and for measurements.
+package assembler
 
 import (
 	"context"
@@ -23,11 +25,11 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/standin"
 )
 
-// plan is the fleet file of a deployment.
-type plan struct {
+// Plan is the fleet file of a deployment.
+type Plan struct {
 	HomeRegion    string           `yaml:"home_region"`
 	DataCentres   []string         `yaml:"data_centres"`
-	Workers       []workerPlan     `yaml:"workers"`
+	Workers       []WorkerPlan     `yaml:"workers"`
 	ServiceTimeMs int              `yaml:"service_time_ms"`
 	ColdStartMs   int              `yaml:"cold_start_ms"`
 	RestartMs     int              `yaml:"restart_ms"`
@@ -38,7 +40,8 @@
 	CrashPath     string           `yaml:"crash_path"`
 }
 
-type workerPlan struct {
+// WorkerPlan is one worker of a plan.
+type WorkerPlan struct {
 	Name        string `yaml:"name"`
 	DataCentre  string `yaml:"data_centre"`
 	Service     string `yaml:"service"`
@@ -54,6 +57,7 @@
 	heartbeatMs = 100
 	drainMs     = 10_000
 	controllers = 3
+	maxSeeds    = 4
 )
 
 // process is a running part of the fleet.
@@ -77,37 +81,40 @@
 	return <-p.done
 }
 
-type runningNode struct {
-	plan    workerPlan
+// Node is a running node.
+type Node struct {
+	plan    WorkerPlan
 	server  *nodeserver.Server
 	process *process
 	metrics metrics.Registry
 }
 
-type runningController struct {
+// Controller is a running controller.
+type Controller struct {
 	settings controlserver.Settings
 	server   *controlserver.Server
 	process  *process
+	metrics  metrics.Registry
 }
 
-// fleet is a whole deployment in one process.
-type fleet struct {
-	plan        plan
+// Fleet is a whole deployment in one process.
+type Fleet struct {
+	plan        Plan
 	folder      string
 	ledger      *standin.Ledger
 	mu          sync.Mutex
 	cut         string
-	controllers []*runningController
-	nodes       map[string]*runningNode
+	controllers []*Controller
+	nodes       map[string]*Node
 	backends    map[string]*standin.Backend
 	processes   map[string]*process
-	traffic     metrics.Registry
 }
 
-func newFleet(p plan, folder string) *fleet {
-	return &fleet{
-		plan: p, folder: folder, ledger: standin.NewLedger(), nodes: map[string]*runningNode{},
-		backends: map[string]*standin.Backend{}, processes: map[string]*process{}, traffic: metrics.NewRegistry(),
+// New returns a fleet that is not running; the controllers keep their data below the folder.
+func New(p Plan, folder string) *Fleet {
+	return &Fleet{
+		plan: p, folder: folder, ledger: standin.NewLedger(), nodes: map[string]*Node{},
+		backends: map[string]*standin.Backend{}, processes: map[string]*process{},
 	}
 }
 
@@ -116,12 +123,12 @@
 	return fmt.Sprintf("127.1.%d.%d:%d", dataCentre, i, port)
 }
 
-func (f *fleet) dataCentreNumber(name string) int {
+func (f *Fleet) dataCentreNumber(name string) int {
 	return slices.Index(f.plan.DataCentres, name) + 1
 }
 
 // passes cuts one data centre off from the others.
-func (f *fleet) passes(from, to tiller.Address) bool {
+func (f *Fleet) passes(from, to tiller.Address) bool {
 	f.mu.Lock()
 	cut := f.cut
 	f.mu.Unlock()
@@ -149,7 +156,8 @@
 	return n
 }
 
-func (f *fleet) setCut(name string) {
+// Cut separates a data centre from all others; an empty name heals the network.
+func (f *Fleet) Cut(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -158,7 +166,8 @@
 
 const controllerSlot = 200
 
-func (f *fleet) controllerAddresses() []string {
+// ControllerAddresses returns the addresses of all controllers.
+func (f *Fleet) ControllerAddresses() []string {
 	out := make([]string, 0, controllers)
 	for i := range controllers {
 		out = append(out, address(i%len(f.plan.DataCentres)+1, controllerSlot+i, controlPort))
@@ -167,8 +176,8 @@
 	return out
 }
 
-func (f *fleet) startControllers(ctx context.Context) error {
-	addresses := f.controllerAddresses()
+func (f *Fleet) startControllers(ctx context.Context) error {
+	addresses := f.ControllerAddresses()
 
 	for i := range controllers {
 		s := controlserver.Settings{
@@ -184,9 +193,9 @@
 			}
 		}
 
-		f.controllers = append(f.controllers, &runningController{settings: s})
+		f.controllers = append(f.controllers, &Controller{settings: s, metrics: metrics.NewRegistry()})
 
-		if err := f.startController(ctx, i); err != nil {
+		if err := f.StartController(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -194,10 +203,11 @@
 	return nil
 }
 
-func (f *fleet) startController(ctx context.Context, i int) error {
+// StartController starts a controller on the data that it has.
+func (f *Fleet) StartController(ctx context.Context, i int) error {
 	c := f.controllers[i]
 
-	server, err := controlserver.New(c.settings, controlserver.Options{Filter: f.passes, Log: logr.Discard(), Metrics: metrics.NewRegistry()})
+	server, err := controlserver.New(c.settings, controlserver.Options{Filter: f.passes, Log: logr.Discard(), Metrics: c.metrics})
 	if err != nil {
 		return err
 	}
@@ -208,13 +218,13 @@
 	return nil
 }
 
-func (f *fleet) nodeSettings(w workerPlan) nodeserver.Settings {
+func (f *Fleet) nodeSettings(w WorkerPlan) nodeserver.Settings {
 	number, slot := f.position(w)
 
 	var seeds []string
 
 	for _, other := range f.plan.Workers {
-		if other.Name != w.Name && len(seeds) < 4 {
+		if other.Name != w.Name && len(seeds) < maxSeeds {
 			n, s := f.position(other)
 			seeds = append(seeds, address(n, s, controlPort))
 		}
@@ -222,15 +232,27 @@
 
 	return nodeserver.Settings{
 		Name: w.Name, DataCentre: w.DataCentre, Service: w.Service, Address: address(number, slot, controlPort),
-		CallAddress: address(number, slot, callPort), Controllers: f.controllerAddresses(), Seeds: seeds, DrainMs: drainMs,
+		CallAddress: address(number, slot, callPort), Controllers: f.ControllerAddresses(), Seeds: seeds, DrainMs: drainMs,
 	}
 }
 
-func (f *fleet) position(w workerPlan) (dataCentre, slot int) {
-	return f.dataCentreNumber(w.DataCentre), slices.IndexFunc(f.plan.Workers, func(o workerPlan) bool { return o.Name == w.Name }) + 1
+// position returns the number of the data centre and the worker's own number in it, both from 1.
+func (f *Fleet) position(w WorkerPlan) (dataCentre, slot int) {
+	for _, o := range f.plan.Workers {
+		if o.DataCentre == w.DataCentre {
+			slot++
+		}
+
+		if o.Name == w.Name {
+			break
+		}
+	}
+
+	return f.dataCentreNumber(w.DataCentre), slot
 }
 
-func (f *fleet) startNode(ctx context.Context, w workerPlan) error {
+// StartNode starts the node of a worker.
+func (f *Fleet) StartNode(ctx context.Context, w WorkerPlan) error {
 	registry := metrics.NewRegistry()
 
 	server, err := nodeserver.New(f.nodeSettings(w), nodeserver.Options{Filter: f.passes, Log: logr.Discard(), Metrics: registry})
@@ -238,14 +260,15 @@
 		return err
 	}
 
-	f.nodes[w.Name] = &runningNode{plan: w, server: server, metrics: registry, process: start(ctx, func(ctx context.Context) error {
+	f.nodes[w.Name] = &Node{plan: w, server: server, metrics: registry, process: start(ctx, func(ctx context.Context) error {
 		return runner.Run(ctx, server.Parts()...)
 	})}
 
 	return nil
 }
 
-func (f *fleet) startBackend(ctx context.Context, w workerPlan) {
+// StartBackend starts the backend server of a worker.
+func (f *Fleet) StartBackend(ctx context.Context, w WorkerPlan) {
 	number, slot := f.position(w)
 	b := standin.NewBackend(standin.BackendOptions{
 		Worker: tiller.Worker(w.Name), Service: tiller.Service(w.Service), Address: address(number, slot, backendPort),
@@ -257,7 +280,8 @@
 	f.processes[w.Name] = start(ctx, b.Run)
 }
 
-func (f *fleet) start(ctx context.Context) error {
+// Start starts controllers, nodes and backend servers.
+func (f *Fleet) Start(ctx context.Context) error {
 	if err := os.MkdirAll(f.folder, 0o700); err != nil {
 		return eris.Wrap(err, "create folder")
 	}
@@ -267,18 +291,18 @@
 	}
 
 	for _, w := range f.plan.Workers {
-		if err := f.startNode(ctx, w); err != nil {
+		if err := f.StartNode(ctx, w); err != nil {
 			return err
 		}
 
-		f.startBackend(ctx, w)
+		f.StartBackend(ctx, w)
 	}
 
 	return nil
 }
 
-// stop stops nodes before backend servers, so that calls in flight can finish.
-func (f *fleet) stop() error {
+// Stop stops nodes before backend servers, so that calls in flight can finish.
+func (f *Fleet) Stop() error {
 	var (
 		errs []error
 		wait sync.WaitGroup
@@ -309,8 +333,8 @@
 	return errors.Join(errs...)
 }
 
-// targets returns the nodes that callers reach.
-func (f *fleet) targets() []standin.Target {
+// Targets returns the nodes that callers reach.
+func (f *Fleet) Targets() []standin.Target {
 	var out []standin.Target
 
 	for _, w := range f.plan.Workers {
@@ -321,3 +345,79 @@
 
 	return out
 }
+
+// IsCut reports whether a data centre is cut off.
+func (f *Fleet) IsCut(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.cut != "" && f.cut == name
+}
+
+// Plan returns what the fleet was built from.
+func (f *Fleet) Plan() Plan { return f.plan }
+
+// Ledger returns what the backend servers really ran.
+func (f *Fleet) Ledger() *standin.Ledger { return f.ledger }
+
+// Nodes returns the running nodes by worker.
+func (f *Fleet) Nodes() map[string]*Node { return f.nodes }
+
+// Backend returns the backend server of a worker.
+func (f *Fleet) Backend(worker string) *standin.Backend { return f.backends[worker] }
+
+// Controllers returns the controllers.
+func (f *Fleet) Controllers() []*Controller { return f.controllers }
+
+// InForce reports whether every node that is not cut off holds a version or a newer one.
+func (f *Fleet) InForce(v tiller.Version) bool {
+	for _, n := range f.nodes {
+		if !f.IsCut(n.plan.DataCentre) && v.NewerThan(n.server.Version()) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// ControlBytes returns the bytes of control messages that the nodes have sent.
+func (f *Fleet) ControlBytes() int64 {
+	total := int64(0)
+	for _, n := range f.nodes {
+		total += metrics.GetOrRegisterCounter("control.sent_bytes", n.metrics).Count()
+	}
+
+	return total
+}
+
+// SourceBytes returns the bytes of control messages that the controllers have sent.
+func (f *Fleet) SourceBytes() int64 {
+	total := int64(0)
+	for _, c := range f.controllers {
+		total += metrics.GetOrRegisterCounter("control.sent_bytes", c.metrics).Count()
+	}
+
+	return total
+}
+
+// Plan returns the worker that the node serves.
+func (n *Node) Plan() WorkerPlan { return n.plan }
+
+// Server returns the node.
+func (n *Node) Server() *nodeserver.Server { return n.server }
+
+// Stop stops the node gracefully.
+func (n *Node) Stop() error { return n.process.stop() }
+
+// Server returns the controller.
+func (c *Controller) Server() *controlserver.Server { return c.server }
+
+// Kill ends the controller like the death of its process.
+func (c *Controller) Kill() error {
+	err := c.server.Kill()
+
+	// The sockets are closed, so that the parts end with errors that mean nothing here.
+	_ = c.process.stop()
+
+	return err
+}
--- a/cmd/quickstart/main.go
+++ b/cmd/quickstart/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
 	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
 	"gitlab.com/sycamoretiller/sycamoretiller/parser"
 )
@@ -30,7 +31,7 @@
 func run(ctx context.Context, c *cli.Command) error {
 	folder := filepath.Join(c.String("examples"), c.String("deployment"))
 
-	var p plan
+	var p assembler.Plan
 	if err := parser.ReadFile(filepath.Join(folder, "fleet.yaml"), &p); err != nil {
 		return launcher.Exit(launcher.ExitBadInput, err)
 	}
@@ -52,5 +53,5 @@
 
 	defer func() { _ = os.RemoveAll(disk) }()
 
-	return newTour(newFleet(p, disk), document, c.Root().Writer, c.String("timeline")).run(ctx)
+	return newTour(assembler.New(p, disk), document, c.Root().Writer, c.String("timeline")).run(ctx)
 }
--- a/cmd/quickstart/tour.go
+++ b/cmd/quickstart/tour.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
 	"gitlab.com/sycamoretiller/sycamoretiller/editor"
 	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
 	"gitlab.com/sycamoretiller/sycamoretiller/renderer"
@@ -43,7 +43,7 @@
 
 // tour is the run of the quickstart.
 type tour struct {
-	fleet    *fleet
+	fleet    *assembler.Fleet
 	document tiller.DocumentSpec
 	out      io.Writer
 	timeline string
@@ -54,10 +54,10 @@
 	versions map[string]tiller.Version
 }
 
-func newTour(f *fleet, document tiller.DocumentSpec, out io.Writer, timeline string) *tour {
+func newTour(f *assembler.Fleet, document tiller.DocumentSpec, out io.Writer, timeline string) *tour {
 	t := &tour{
-		fleet: f, document: document, out: out, timeline: timeline, tally: standin.NewTally(f.ledger),
-		client: editor.New(transporter.Addresses(f.controllerAddresses())), versions: map[string]tiller.Version{},
+		fleet: f, document: document, out: out, timeline: timeline, tally: standin.NewTally(f.Ledger()),
+		client: editor.New(transporter.Addresses(f.ControllerAddresses())), versions: map[string]tiller.Version{},
 	}
 
 	return t
@@ -71,7 +71,7 @@
 func (t *tour) run(ctx context.Context) error {
 	began := time.Now()
 
-	if err := t.fleet.start(ctx); err != nil {
+	if err := t.fleet.Start(ctx); err != nil {
 		return err
 	}
 
@@ -80,7 +80,7 @@
 		t.tally.Breach("%s", err)
 	}
 
-	if err := errors.Join(t.writeTimeline(ctx), t.fleet.stop()); err != nil {
+	if err := errors.Join(t.writeTimeline(ctx), t.fleet.Stop()); err != nil {
 		t.tally.Breach("%s", err)
 	}
 
@@ -95,7 +95,7 @@
 	calling, stop := context.WithCancel(ctx)
 	defer stop()
 
-	t.callers = standin.NewCallers(t.fleet.plan.Scripts, t.fleet.targets(), t.tally)
+	t.callers = standin.NewCallers(t.fleet.Plan().Scripts, t.fleet.Targets(), t.tally)
 
 	var callers sync.WaitGroup
 	for range callerCount {
@@ -135,16 +135,16 @@
 		return err
 	}
 
-	t.say("fleet        %d controllers, %d nodes in %d data centres", controllers, len(t.fleet.nodes), len(t.fleet.plan.DataCentres))
+	t.say("fleet        %d controllers, %d nodes in %d data centres", len(t.fleet.Controllers()), len(t.fleet.Nodes()), len(t.fleet.Plan().DataCentres))
 
 	return nil
 }
 
 // routable reports whether every node knows every worker as ready and every claim group.
 func (t *tour) routable(ctx context.Context) bool {
-	for _, n := range t.fleet.nodes {
-		r, err := t.client.Inspector(n.server.Address()).Inspect(ctx, &wire.InspectRequest{})
-		if err != nil || len(r.GetPlacements().GetPlacements()) < len(t.fleet.plan.DataCentres) {
+	for _, n := range t.fleet.Nodes() {
+		r, err := t.client.Inspector(n.Server().Address()).Inspect(ctx, &wire.InspectRequest{})
+		if err != nil || len(r.GetPlacements().GetPlacements()) < len(t.fleet.Plan().DataCentres) {
 			return false
 		}
 
@@ -156,7 +156,7 @@
 			}
 		}
 
-		if ready < len(t.fleet.plan.Workers) {
+		if ready < len(t.fleet.Plan().Workers) {
 			return false
 		}
 	}
@@ -193,7 +193,7 @@
 		return err
 	}
 
-	sent := t.controlBytes()
+	sent := t.fleet.ControlBytes()
 	began := time.Now()
 
 	r, err := t.client.Apply(ctx, e)
@@ -208,12 +208,13 @@
 	accepted := time.Since(began)
 	version := tiller.VersionOf(r.GetOutcome().GetVersion())
 
-	if err := t.until(convergenceBound, "version "+version.String()+" is in force everywhere", func() bool { return t.inForce(version) }); err != nil {
+	inForce := func() bool { return t.fleet.InForce(version) }
+	if err := t.until(convergenceBound, "version "+version.String()+" is in force everywhere", inForce); err != nil {
 		return err
 	}
 
 	t.say("edit         %-34s %s -> %s  accepted in %d ms, in force on %d nodes in %d ms, %d control bytes meanwhile",
-		reason, before, version, accepted.Milliseconds(), t.reachable(), time.Since(began).Milliseconds(), t.controlBytes()-sent)
+		reason, before, version, accepted.Milliseconds(), t.reachable(), time.Since(began).Milliseconds(), t.fleet.ControlBytes()-sent)
 
 	return nil
 }
@@ -221,8 +222,8 @@
 func (t *tour) reachable() int {
 	n := 0
 
-	for _, node := range t.fleet.nodes {
-		if node.plan.DataCentre != t.fleet.cut {
+	for _, node := range t.fleet.Nodes() {
+		if !t.fleet.IsCut(node.Plan().DataCentre) {
 			n++
 		}
 	}
@@ -230,33 +231,13 @@
 	return n
 }
 
-func (t *tour) inForce(v tiller.Version) bool {
-	for _, n := range t.fleet.nodes {
-		if n.plan.DataCentre != t.fleet.cut && v.NewerThan(n.server.Version()) {
-			return false
-		}
-	}
-
-	return true
-}
-
-func (t *tour) controlBytes() int64 {
-	total := int64(0)
-
-	for _, n := range t.fleet.nodes {
-		total += metrics.GetOrRegisterCounter("control.sent_bytes", n.metrics).Count()
-	}
-
-	return total
-}
-
 // watchVersions checks that no node ever moves to an older version.
 func (t *tour) watchVersions(ctx context.Context) {
 	for ctx.Err() == nil {
 		t.mu.Lock()
 
-		for name, n := range t.fleet.nodes {
-			v := n.server.Version()
+		for name, n := range t.fleet.Nodes() {
+			v := n.Server().Version()
 			if t.versions[name].NewerThan(v) && !v.IsZero() {
 				t.tally.Breach("%s moved back from %s to %s", name, t.versions[name], v)
 			}
@@ -271,7 +252,7 @@
 
 // shiftTraffic takes a worker out of use by an exception and checks that calls go elsewhere.
 func (t *tour) shiftTraffic(ctx context.Context) error {
-	worker := tiller.Worker(t.fleet.plan.ShiftWorker)
+	worker := tiller.Worker(t.fleet.Plan().ShiftWorker)
 
 	time.Sleep(settleTime)
 
@@ -312,8 +293,8 @@
 }
 
 func (t *tour) drainWorker(context.Context) error {
-	worker := tiller.Worker(t.fleet.plan.DrainWorker)
-	t.fleet.backends[string(worker)].Drain()
+	worker := tiller.Worker(t.fleet.Plan().DrainWorker)
+	t.fleet.Backend(string(worker)).Drain()
 	time.Sleep(drainBound)
 
 	before := t.tally.Workers()[worker]
@@ -334,8 +315,8 @@
 func (t *tour) crashingRequest(context.Context) error {
 	crashes := func() int64 {
 		total := int64(0)
-		for _, b := range t.fleet.backends {
-			total += b.Crashes()
+		for _, w := range t.fleet.Plan().Workers {
+			total += t.fleet.Backend(w.Name).Crashes()
 		}
 
 		return total
@@ -364,20 +345,20 @@
 
 // restartNode stops a node gracefully, starts it again and waits until it holds the version in force.
 func (t *tour) restartNode(ctx context.Context) error {
-	w := t.fleet.plan.Workers[len(t.fleet.plan.Workers)-1]
+	w := t.fleet.Plan().Workers[len(t.fleet.Plan().Workers)-1]
 	t.callers.Aim(t.targetsWithout(w.Name))
 	time.Sleep(settleTime / 2)
 
-	node := t.fleet.nodes[w.Name]
-	version := node.server.Version()
+	node := t.fleet.Nodes()[w.Name]
+	version := node.Server().Version()
 
-	if err := node.process.stop(); err != nil {
+	if err := node.Stop(); err != nil {
 		return err
 	}
 
 	t.mu.Lock()
 	delete(t.versions, w.Name)
-	err := t.fleet.startNode(ctx, w)
+	err := t.fleet.StartNode(ctx, w)
 	t.mu.Unlock()
 
 	if err != nil {
@@ -385,7 +366,7 @@
 	}
 
 	began := time.Now()
-	caughtUp := func() bool { return !version.NewerThan(t.fleet.nodes[w.Name].server.Version()) }
+	caughtUp := func() bool { return !version.NewerThan(t.fleet.Nodes()[w.Name].Server().Version()) }
 
 	if err := t.until(convergenceBound, w.Name+" catches up", caughtUp); err != nil {
 		return err
@@ -393,34 +374,34 @@
 
 	t.say("restart      node of %s stopped gracefully and held %s again after %d ms", w.Name, version, time.Since(began).Milliseconds())
 	time.Sleep(settleTime)
-	t.callers.Aim(t.fleet.targets())
+	t.callers.Aim(t.fleet.Targets())
 
 	return nil
 }
 
 func (t *tour) targetsWithout(worker string) []standin.Target {
-	address := t.fleet.nodes[worker].server.CallAddress()
+	address := t.fleet.Nodes()[worker].Server().CallAddress()
 
-	return slices.DeleteFunc(t.fleet.targets(), func(o standin.Target) bool { return o.Address == address })
+	return slices.DeleteFunc(t.fleet.Targets(), func(o standin.Target) bool { return o.Address == address })
 }
 
 func lengthenQueue(d *tiller.DocumentSpec) { d.Defaults[tiller.SettingQueueLength.String()]++ }
 
 // loseLeader kills the leading controller, edits through the others and brings it back.
 func (t *tour) loseLeader(ctx context.Context) error {
-	i := slices.IndexFunc(t.fleet.controllers, func(c *runningController) bool { return c.server.Status().GetCurrent() })
+	i := slices.IndexFunc(t.fleet.Controllers(), func(c *assembler.Controller) bool { return c.Server().Status().GetCurrent() })
 	if i < 0 {
 		return eris.New("no controller leads")
 	}
 
 	began := time.Now()
-	if err := t.fleet.controllers[i].server.Kill(); err != nil {
+	if err := t.fleet.Controllers()[i].Kill(); err != nil {
 		return err
 	}
 
 	if err := t.until(readyBound, "another controller leads", func() bool {
-		return slices.ContainsFunc(t.fleet.controllers, func(c *runningController) bool {
-			return c != t.fleet.controllers[i] && c.server.Status().GetCurrent()
+		return slices.ContainsFunc(t.fleet.Controllers(), func(c *assembler.Controller) bool {
+			return c != t.fleet.Controllers()[i] && c.Server().Status().GetCurrent()
 		})
 	}); err != nil {
 		return err
@@ -428,23 +409,20 @@
 
 	t.say("failover     another controller led %d ms after the leader was killed", time.Since(began).Milliseconds())
 
-	// The process has already closed its sockets, so its parts end with errors that mean nothing here.
-	_ = t.fleet.controllers[i].process.stop()
-
 	if err := t.edit(ctx, "edit after the leader's death", lengthenQueue); err != nil {
 		return err
 	}
 
-	return t.fleet.startController(ctx, i)
+	return t.fleet.StartController(ctx, i)
 }
 
 // cutDataCentre cuts one data centre off, edits outside, checks that both sides serve, and heals.
 func (t *tour) cutDataCentre(ctx context.Context) error {
-	dc := t.fleet.plan.CutDataCentre
+	dc := t.fleet.Plan().CutDataCentre
 	inside := func() int {
 		total := 0
 
-		for _, w := range t.fleet.plan.Workers {
+		for _, w := range t.fleet.Plan().Workers {
 			if w.DataCentre == dc {
 				total += t.tally.Workers()[tiller.Worker(w.Name)]
 			}
@@ -453,7 +431,7 @@
 		return total
 	}
 
-	t.fleet.setCut(dc)
+	t.fleet.Cut(dc)
 	time.Sleep(settleTime)
 
 	before := inside()
@@ -463,7 +441,7 @@
 
 	served := inside() - before
 
-	t.fleet.setCut("")
+	t.fleet.Cut("")
 
 	if err != nil {
 		return err
@@ -477,7 +455,7 @@
 	}
 
 	version := tiller.VersionOf(shown.GetVersion())
-	if err := t.until(convergenceBound, dc+" converges after the cut", func() bool { return t.inForce(version) }); err != nil {
+	if err := t.until(convergenceBound, dc+" converges after the cut", func() bool { return t.fleet.InForce(version) }); err != nil {
 		return err
 	}
 
@@ -493,9 +471,9 @@
 }
 
 func (t *tour) writeTimeline(ctx context.Context) error {
-	addresses := make([]tiller.Address, 0, len(t.fleet.nodes))
-	for _, n := range t.fleet.nodes {
-		addresses = append(addresses, n.server.Address())
+	addresses := make([]tiller.Address, 0, len(t.fleet.Nodes()))
+	for _, n := range t.fleet.Nodes() {
+		addresses = append(addresses, n.Server().Address())
 	}
 
 	lines, dropped := t.client.Timelines(ctx, addresses)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -370,6 +370,24 @@
 	require.Equal(t, 1, runs(nodes))
 }
 
+// TestClientLibraryRepeatsNothingByItself breaks a connection that was already used, which tempts HTTP libraries.
+func TestClientLibraryRepeatsNothingByItself(t *testing.T) {
+	for _, tc := range []struct{ method, path string }{{"POST", "/auditions"}, {"PUT", "/calls/1"}} {
+		broken := atomic.Bool{}
+		nodes := newNodes(t, func(w http.ResponseWriter, r *http.Request) {
+			if broken.Load() {
+				die(w, r)
+			} else {
+				ok(w, r)
+			}
+		})
+		require.Equal(t, 200, send(t, nodes[0], tc.method, tc.path, standin.NewKey(centre), "body").status)
+		broken.Store(true)
+		require.Equal(t, "may_have_run", send(t, nodes[0], tc.method, tc.path, standin.NewKey(centre), "body").verdict)
+		require.Equal(t, 2, runs(nodes))
+	}
+}
+
 func TestClaimVerdictsThatRefuse(t *testing.T) {
 	cases := []struct {
 		claim   wire.ClaimVerdict
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -122,6 +122,16 @@
 	}
 }
 
+func TestSetNeverGoesBack(t *testing.T) {
+	first, firstItems := version(t, 1, 1)
+	second, secondItems := version(t, 2, 2)
+	h := holder.New(2)
+	require.NoError(t, h.Set(second, secondItems))
+	require.ErrorIs(t, h.Set(first, firstItems), holder.ErrStale)
+	require.ErrorIs(t, h.Set(second, secondItems), holder.ErrStale)
+	require.NoError(t, h.Set(tiller.NewVersion(2, 1, first.Hash()), firstItems), "a greater generation follows every index")
+}
+
 func TestCatchUpBytesFollowTheRealDifference(t *testing.T) {
 	size := func(changes int) int {
 		source, behind := holder.New(4), holder.New(0)
--- a/internal/fleettest/membership_test.go
+++ b/internal/fleettest/membership_test.go
@@ -147,6 +147,11 @@
 		Service: "not-declared", State: wire.BackendState_BACKEND_STATE_READY, Slots: 1, Connections: 1,
 	}})
 	f.until(detectionBound, "the worker of an undeclared service has no route", f.routedBy(stranger.identity.Name, false, everywhere))
+
+	known := f.nodes[0]
+	place := tiller.NewPlace(known.identity.DataCentre, known.identity.Service, tiller.Worker(known.identity.Name))
+	table := forwarder.NewTable(known.core.Version(), known.core.Document(), place, known.core.Entries())
+	require.Empty(t, table.Candidates("not-declared"))
 }
 
 func TestOldMessageDoesNotBringAGoneServerBack(t *testing.T) {
