Let strikes travel with the call; walk the programs as separate processes

Change: a refusal carries the strikes known at the gate, the calling node keeps them and sends them along; the gate checks after the wait for a slot. A test gives every node a register of its own and counts two servers.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,18 @@
 quickstart: build
 	./bin/quickstart --deployment $(DEPLOYMENT)
 
+.PHONY: walkthrough
+walkthrough: build
+	./examples/loopback/walkthrough.sh
+
+.PHONY: measure
+measure: build
+	./bin/measure --commit $$(git rev-parse --short HEAD) --out docs/measurements/latest.jsonl
+
+.PHONY: capacity
+capacity: build
+	./bin/measure capacity --from docs/measurements/latest.jsonl --page docs/CAPACITY.md
+
 .PHONY: generate
 generate:
 	GOBIN=$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO)
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -366,6 +366,19 @@
 // Backend returns the backend server of a worker.
 func (f *Fleet) Backend(worker string) *standin.Backend { return f.backends[worker] }
 
+// BackendAddress returns where the backend server of a worker listens.
+func (f *Fleet) BackendAddress(worker string) string {
+	for _, w := range f.plan.Workers {
+		if w.Name == worker {
+			number, slot := f.position(w)
+
+			return address(number, slot, backendPort)
+		}
+	}
+
+	return ""
+}
+
 // Controllers returns the controllers.
 func (f *Fleet) Controllers() []*Controller { return f.controllers }
 
--- a/cmd/quickstart/main.go
+++ b/cmd/quickstart/main.go
@@ -24,7 +24,8 @@
 			&cli.StringFlag{Name: "deployment", Usage: "`NAME` of the deployment: kigali or hill_country", Value: "kigali"},
 			&cli.StringFlag{Name: "timeline", Usage: "write the time line as HTML to `FILE`"},
 		},
-		Action: run,
+		Commands: []*cli.Command{backendCommand()},
+		Action:   run,
 	}
 }
 
--- a/cmd/quickstart/tour.go
+++ b/cmd/quickstart/tour.go
@@ -256,7 +256,7 @@
 
 	time.Sleep(settleTime)
 
-	if t.tally.Workers()[worker] == 0 {
+	if t.fleet.Ledger().Received(worker) == 0 {
 		return eris.Errorf("%s received no calls before the edit", worker)
 	}
 
@@ -273,7 +273,7 @@
 
 	time.Sleep(settleTime)
 
-	after := t.tally.Workers()[worker]
+	after := t.fleet.Ledger().Received(worker)
 	t.say("shift        %s received %d calls in %s after the edit", worker, after-before, settleTime)
 
 	if after != before {
@@ -285,11 +285,11 @@
 	})
 }
 
-// settledCalls returns a worker's answered calls once those in flight have ended.
+// settledCalls returns how many calls a worker has received once those in flight have ended.
 func (t *tour) settledCalls(w tiller.Worker) int {
 	time.Sleep(settleTime / 4)
 
-	return t.tally.Workers()[w]
+	return t.fleet.Ledger().Received(w)
 }
 
 func (t *tour) drainWorker(context.Context) error {
@@ -297,11 +297,11 @@
 	t.fleet.Backend(string(worker)).Drain()
 	time.Sleep(drainBound)
 
-	before := t.tally.Workers()[worker]
+	before := t.fleet.Ledger().Received(worker)
 
 	time.Sleep(settleTime)
 
-	late := t.tally.Workers()[worker] - before
+	late := t.fleet.Ledger().Received(worker) - before
 	t.say("drain        %s received %d calls later than %s after it began to drain", worker, late, drainBound)
 
 	if late != 0 {
@@ -424,7 +424,7 @@
 
 		for _, w := range t.fleet.Plan().Workers {
 			if w.DataCentre == dc {
-				total += t.tally.Workers()[tiller.Worker(w.Name)]
+				total += t.fleet.Ledger().Received(tiller.Worker(w.Name))
 			}
 		}
 
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -64,6 +64,10 @@
 		setInt(h, HeaderRetriesSpent, int64(err.Retries()))
 	}
 
+	if err.Strikes() > 0 {
+		setInt(h, HeaderStrikes, int64(err.Strikes()))
+	}
+
 	if err.RetryAfter() > 0 {
 		h.Set("Retry-After", strconv.FormatInt(int64((err.RetryAfter()+tiller.Second-1)/tiller.Second), 10))
 	}
@@ -81,7 +85,8 @@
 	}
 
 	return tiller.NewCallError(parseVerdict(a.header.Get(HeaderVerdict)), reason, body.Detail).
-		WithRetryAfter(tiller.Millis(body.RetryAfterMs)).WithRetries(retriesSpent(a.header))
+		WithRetryAfter(tiller.Millis(body.RetryAfterMs)).WithRetries(retriesSpent(a.header)).
+		WithStrikes(int(headerInt(a.header, HeaderStrikes, 0)))
 }
 
 func (a *Answer) write(w http.ResponseWriter) {
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -11,6 +11,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
+	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
 )
 
@@ -37,6 +38,12 @@
 	attempt    string
 	cause      string
 	chainLeft  int
+	strikes    int
+}
+
+// digest identifies the request across resends.
+func (q *request) digest() quarantiner.Digest {
+	return quarantiner.DigestOf(q.method, q.target, q.key, q.body)
 }
 
 const defaultChainRetries = 2
@@ -219,12 +226,14 @@
 	q := *c.request
 	q.attempt = uuid.NewString()
 	q.chainLeft = c.attempts.ChainLeft()
+	q.strikes = f.Register.Count(q.digest())
 
 	answer, err := f.send(ctx, &q, backend, c.settings.Value(tiller.SettingMaxAnswerBytes))
 	f.Balancer.Done(f.Clock.Now(), backend.Worker(), err, policyOf(c.settings))
 
 	if err != nil {
 		c.attempts.Charge(err.Retries())
+		f.Register.Raise(f.Clock.Now(), q.digest(), q.route, err.Strikes())
 	} else {
 		c.attempts.Charge(retriesSpent(answer.header))
 		answer.header.Del(HeaderRetriesSpent)
@@ -278,6 +287,10 @@
 	setInt(h, HeaderDeadline, int64(max(q.deadline-now, 0)))
 	setInt(h, HeaderRetriesLeft, int64(q.chainLeft))
 
+	if q.strikes > 0 {
+		setInt(h, HeaderStrikes, int64(q.strikes))
+	}
+
 	if q.atMostOnce {
 		h.Set(HeaderFlags, "true")
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -422,6 +422,26 @@
 	require.Equal(t, "may_have_run", send(t, nodes[3], "PUT", "/calls/crash", "", "another body").verdict)
 }
 
+// TestStrikesTravelWithTheCall separates the nodes' registers, as if the announcements of a crash came too late.
+func TestStrikesTravelWithTheCall(t *testing.T) {
+	nodes := newNodes(t, die, die, die, die)
+	registers := map[*quarantiner.Register]bool{}
+
+	for _, n := range nodes {
+		n.register = quarantiner.New()
+		n.forward.Register = n.register
+		registers[n.register] = true
+	}
+
+	require.Len(t, registers, len(nodes))
+
+	for range 5 {
+		send(t, nodes[0], "GET", "/calls/crash", "", "")
+	}
+
+	require.Equal(t, 2, runs(nodes))
+}
+
 func TestInnocentRequestIsClearedByASuccess(t *testing.T) {
 	crashing := atomic.Bool{}
 	crashing.Store(true)
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -8,6 +8,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
 	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
@@ -64,7 +65,7 @@
 		route: r.Header.Get(HeaderRoute), class: class, atMostOnce: r.Header.Get(HeaderFlags) != "",
 		deadline: f.Clock.Now() + tiller.Millis(max(headerInt(r.Header, HeaderDeadline, 0), 0)),
 		key:      r.Header.Get(HeaderKey), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
-		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)),
+		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
 	}, nil
 }
 
@@ -76,13 +77,6 @@
 	}
 
 	own := f.Table.Load().Own()
-	digest := quarantiner.DigestOf(q.method, q.target, q.key, q.body)
-
-	if f.quarantined(digest, own.Value(tiller.SettingQuarantineStrikes), own.Seconds(tiller.SettingQuarantineSeconds)) {
-		f.Recorder.Record(tiller.NewEvent(tiller.EventQuarantined, "request refused", tiller.WithKey(digest.String()), tiller.WithCause(q.cause)))
-
-		return nil, notRun(tiller.ReasonQuarantined, "this request crashed backend servers; request digest "+digest.String())
-	}
 
 	slot, err := f.Gate.Acquire(ctx, q.class, q.deadline)
 	if err != nil {
@@ -92,6 +86,12 @@
 	outcome := limiter.OutcomeFailed
 	defer func() { slot.Release(outcome) }()
 
+	// Strikes that came in while the request waited count too.
+	digest := q.digest()
+	if err := f.quarantine(q, digest, own); err != nil {
+		return nil, err
+	}
+
 	answer, err := f.runOnce(ctx, q, target, digest, own.Value(tiller.SettingMaxAnswerBytes))
 	outcome = outcomeOf(answer, err)
 
@@ -123,8 +123,18 @@
 	}
 }
 
-func (f *Forwarder) quarantined(d quarantiner.Digest, strikes int64, span tiller.Millis) bool {
-	return f.Register.Refuses(f.Clock.Now(), d, int(strikes), span)
+// quarantine refuses a request that has crashed too many servers, as far as this node or the sending one knows.
+func (f *Forwarder) quarantine(q *request, d quarantiner.Digest, own compiler.Effective) *tiller.CallError {
+	now := f.Clock.Now()
+	f.Register.Raise(now, d, q.route, q.strikes)
+
+	if !f.Register.Refuses(now, d, int(own.Value(tiller.SettingQuarantineStrikes)), own.Seconds(tiller.SettingQuarantineSeconds)) {
+		return nil
+	}
+
+	f.Recorder.Record(tiller.NewEvent(tiller.EventQuarantined, "request refused", tiller.WithKey(d.String()), tiller.WithCause(q.cause)))
+
+	return notRun(tiller.ReasonQuarantined, "this request crashed backend servers; request digest "+d.String()).WithStrikes(f.Register.Count(d))
 }
 
 // runOnce claims a keyed request before it runs and keeps its outcome for resends.
@@ -251,7 +261,7 @@
 		f.Strikes.Announce(context.WithoutCancel(ctx), []quarantiner.Digest{d}, q.route)
 	}
 
-	return failed.err
+	return failed.err.WithStrikes(f.Register.Count(d))
 }
 
 func (q *request) backendHeader(now tiller.Millis) http.Header {
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -38,6 +38,8 @@
 	HeaderClass = "Tiller-Class"
 	// HeaderRoute names the route between nodes.
 	HeaderRoute = "Tiller-Route"
+	// HeaderStrikes carries the known crashes of a request between nodes, both ways.
+	HeaderStrikes = "Tiller-Strikes"
 	// HeaderFlags carries the route's properties between nodes.
 	HeaderFlags = "Tiller-At-Most-Once"
 	// HeaderLoad carries the load of the worker on the way back between nodes.
@@ -49,7 +51,7 @@
 )
 
 var hopOnly = []string{
-	HeaderAttempt, HeaderClass, HeaderRoute, HeaderFlags, HeaderLoad, HeaderLimit, HeaderLength,
+	HeaderAttempt, HeaderClass, HeaderRoute, HeaderFlags, HeaderLoad, HeaderLimit, HeaderLength, HeaderStrikes,
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -84,6 +84,21 @@
 	return s.strikes
 }
 
+// Raise takes over a higher sum of strikes that another node knows.
+func (r *Register) Raise(now tiller.Millis, d Digest, route string, total int) {
+	if missing := total - r.Count(d); missing > 0 {
+		r.Strike(now, d, route, missing)
+	}
+}
+
+// Count returns the strikes of a request.
+func (r *Register) Count(d Digest) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.struck[d].strikes
+}
+
 // Refuses reports whether a request has reached the limit of strikes within the given span.
 func (r *Register) Refuses(now tiller.Millis, d Digest, limit int, span tiller.Millis) bool {
 	r.mu.Lock()
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -193,12 +193,14 @@
 	defer b.inFlight.Add(-1)
 
 	id := identify(r)
-	b.options.Ledger.Ran(id, b.options.Worker)
+	ids := []string{id}
 
-	if r.Header.Get(forwarder.HeaderKey) != "" {
-		b.options.Ledger.Ran(r.Header.Get(HeaderSend), b.options.Worker)
+	if send := r.Header.Get(HeaderSend); send != id {
+		ids = append(ids, send)
 	}
 
+	b.options.Ledger.Ran(b.options.Worker, ids...)
+
 	if r.Header.Get(HeaderCrash) != "" || strings.Contains(string(body), HeaderCrash) {
 		b.crash()
 
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -131,8 +131,6 @@
 		expected = key
 	}
 
-	start := time.Now()
-
 	resp, err := r.Execute(s.Method, "http://"+string(t.Address)+s.Path)
 	if err != nil {
 		c.tally.refuse("connection", tiller.VerdictMayHaveRun.String(), id)
@@ -140,10 +138,10 @@
 		return false
 	}
 
-	return c.judge(s, resp, id, key, expected, tiller.Millis(time.Since(start).Milliseconds()))
+	return c.judge(s, resp, id, key, expected)
 }
 
-func (c *Callers) judge(s Script, resp *resty.Response, id, key, expected string, took tiller.Millis) bool {
+func (c *Callers) judge(s Script, resp *resty.Response, id, key, expected string) bool {
 	if resp.StatusCode() != http.StatusOK {
 		c.tally.refuse(resp.Header().Get(forwarder.HeaderReason), resp.Header().Get(forwarder.HeaderVerdict), id)
 
@@ -163,7 +161,7 @@
 		return true
 	}
 
-	c.tally.serve(s.Name, id, key, tiller.Worker(e.Worker), took)
+	c.tally.serve(s.Name, id, key)
 
 	return true
 }
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -11,28 +12,34 @@
 
 // Ledger counts what really ran on the backend servers.
 type Ledger struct {
-	mu      sync.Mutex
-	runs    map[string]int
-	servers map[string]map[tiller.Worker]int
+	mu       sync.Mutex
+	runs     map[string]int
+	received map[tiller.Worker]int
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{runs: map[string]int{}, servers: map[string]map[tiller.Worker]int{}}
+	return &Ledger{runs: map[string]int{}, received: map[tiller.Worker]int{}}
 }
 
-// Ran notes that a server started to run a request.
-func (l *Ledger) Ran(id string, w tiller.Worker) {
+// Ran notes that a server started to run a request, which may be known by several ids.
+func (l *Ledger) Ran(w tiller.Worker, ids ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.runs[id]++
+	l.received[w]++
 
-	if l.servers[id] == nil {
-		l.servers[id] = map[tiller.Worker]int{}
+	for _, id := range ids {
+		l.runs[id]++
 	}
+}
+
+// Received returns how many requests a worker started to run.
+func (l *Ledger) Received(w tiller.Worker) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 
-	l.servers[id][w]++
+	return l.received[w]
 }
 
 // Runs returns how often a request ran.
@@ -53,15 +60,13 @@
 	keys     tiller.Set[string]
 	answered tiller.Set[string]
 	broken   []string
-	workers  map[tiller.Worker]int
-	latency  []tiller.Millis
 }
 
 // NewTally returns an empty tally.
 func NewTally(l *Ledger) *Tally {
 	return &Tally{
 		ledger: l, served: map[string]int{}, refused: map[string]int{}, keys: tiller.NewSet[string](),
-		answered: tiller.NewSet[string](), workers: map[tiller.Worker]int{},
+		answered: tiller.NewSet[string](),
 	}
 }
 
@@ -81,13 +86,11 @@
 	t.breach(format, args...)
 }
 
-func (t *Tally) serve(route, id, key string, w tiller.Worker, took tiller.Millis) {
+func (t *Tally) serve(route, id, key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	t.served[route]++
-	t.workers[w]++
-	t.latency = append(t.latency, took)
 
 	if key != "" {
 		t.answered.Add(key)
@@ -145,9 +148,6 @@
 // Refused returns the refused calls by reason.
 func (t *Tally) Refused() map[string]int { return copyOf(t, t.refused) }
 
-// Workers returns the answered calls by worker.
-func (t *Tally) Workers() map[tiller.Worker]int { return copyOf(t, t.workers) }
-
 // Keys returns the number of keyed requests and how many of them were answered.
 func (t *Tally) Keys() (sent, answered int) {
 	t.mu.Lock()
@@ -156,14 +156,9 @@
 	return t.keys.Len(), t.answered.Len()
 }
 
-func copyOf[K comparable](t *Tally, m map[K]int) map[K]int {
+func copyOf(t *Tally, m map[string]int) map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	out := make(map[K]int, len(m))
-	for k, v := range m {
-		out[k] = v
-	}
-
-	return out
+	return maps.Clone(m)
 }
--- a/verdict.go
+++ b/verdict.go
@@ -55,6 +55,7 @@
 	detail     string
 	retryAfter Millis
 	retries    int
+	strikes    int
 }
 
 // NewCallError returns an error with the verdict on the request.
@@ -78,6 +79,14 @@
 	return &c
 }
 
+// WithStrikes returns a copy that tells how many backend servers the request is known to have crashed.
+func (e *CallError) WithStrikes(strikes int) *CallError {
+	c := *e
+	c.strikes = strikes
+
+	return &c
+}
+
 // Error formats the refusal.
 func (e *CallError) Error() string {
 	return fmt.Sprintf("%s (%s): %s", e.reason, e.verdict, e.detail)
@@ -98,6 +107,9 @@
 // Retries returns how many retries were already made for the call.
 func (e *CallError) Retries() int { return e.retries }
 
+// Strikes returns how many backend servers the request is known to have crashed.
+func (e *CallError) Strikes() int { return e.strikes }
+
 // VerdictOf returns the verdict that an error carries; an unknown error may have run.
 func VerdictOf(err error) Verdict {
 	if e, ok := errors.AsType[*CallError](err); ok {
