--- a/cmd/measure/capacity.go
+++ b/cmd/measure/capacity.go
@@ -180,109 +180,138 @@
 	return fmt.Sprintf("| %s | %s | %s | %.4g %s | %s | %s | %s |", r.role, r.what, r.formula, r.value, r.unit, budget, verdict, r.mechanism)
 }
 
+// Roles of the table.
+const (
+	roleNode       = "node at a worker"
+	roleRelay      = "node that relays"
+	roleHolder     = "node that holds claims"
+	roleController = "voting controller"
+	roleOperator   = "operator's tool"
+	roleFleet      = "fleet"
+)
+
 func (f figures) rows() []capacityRow {
+	rows := append(f.nodeRows(), relayRows()...)
+	rows = append(rows, holderRows()...)
+
+	return append(rows, f.sourceRows()...)
+}
+
+func (f figures) nodeRows() []capacityRow {
 	const (
-		node       = "node at a worker"
-		relay      = "node that relays"
-		holder     = "node that holds claims"
-		controller = "voting controller"
-		operator   = "operator's tool"
-		percent    = 100
-		micros     = 1e6
+		percent = 100
+		micros  = 1e6
 	)
 
 	changes := float64(editsPerDay) / secondsPerDay
 	rest := f.atTarget("rest_control_bytes_per_second_per_node")
 	perChange := f.largest("node_bytes_per_change")
 	changeBytes := perChange.Value / float64(max(perChange.Nodes, 1)) * changes
-	sourceChange := f.largest("source_bytes_per_change").Value
-	_, sourceRest := f.slope("rest_source_bytes_per_second")
 	callsPerNode := float64(targetCalls) / targetNodes
 	callCPU := f.largest("cpu_us_per_call").Value
-	keys := float64(targetCalls) / targetDepth * keyedShare / dataCentres
-	claimMB := keys * windowSecs * (recordBytes + answerBytes) / (1 << 20)
-	turnover := float64(restartsPerDay+failuresPerDay) / secondsPerDay
 
 	return []capacityRow{
 		{
-			role: node, what: "control bytes sent at rest", formula: "a + b·nodes",
+			role: roleNode, what: "control bytes sent at rest", formula: "a + b·nodes",
 			value: rest / bytesPerKB, unit: "KB/s", budget: trafficBudgetKB, mechanism: "probes with piggybacked entries and version digests",
 		},
 		{
-			role: node, what: "control bytes for changes", formula: "bytes a change and node × 3,900 a day",
+			role: roleNode, what: "control bytes for changes", formula: "bytes a change and node × 3,900 a day",
 			value: changeBytes / bytesPerKB, unit: "KB/s", budget: trafficBudgetKB, mechanism: "digests pushed down the tree, differences pulled",
 		},
 		{
-			role: node, what: "control CPU at rest", formula: "a + b·nodes",
+			role: roleNode, what: "control CPU at rest", formula: "a + b·nodes",
 			value: f.atTarget("rest_cpu_percent_per_node"), unit: "% of a core", budget: cpuBudgetPercent, mechanism: "timers of 50 ms, one probe a second",
 		},
 		{
-			role: node, what: "control CPU at 100 × the changes", formula: "largest fleet measured",
+			role: roleNode, what: "control CPU at 100 × the changes", formula: "largest fleet measured",
 			value: f.largest("busy_cpu_percent_per_node").Value, unit: "% of a core", budget: cpuBudgetPercent,
 			mechanism: "differences applied, tables rebuilt",
 		},
 		{
-			role: node, what: "memory without calls", formula: "a + b·nodes",
+			role: roleNode, what: "memory without calls", formula: "a + b·nodes",
 			value: f.atTarget("resident_mb_per_node"), unit: "MB", budget: memoryBudgetMB, mechanism: "whole document, 32 predecessors, membership table",
 		},
 		{
-			role: node, what: "call CPU (not control)", formula: "CPU a call × 145 calls/s, both nodes",
+			role: roleNode, what: "call CPU (not control)", formula: "CPU a call × 145 calls/s, both nodes",
 			value: percent * callCPU * callsPerNode / micros, unit: "% of a core", budget: 0, mechanism: "forwarder and gate",
 		},
 		{
-			role: node, what: "added to a call, p99", formula: "measured with two nodes",
+			role: roleNode, what: "added to a call, p99", formula: "measured with two nodes",
 			value: f.largest("added_us_p99").Value, unit: "us", budget: latencyBudgetUs, mechanism: "two hops, two random choices, whole answers",
 		},
+	}
+}
+
+func relayRows() []capacityRow {
+	return []capacityRow{
 		{
-			role: relay, what: "pulls a second", formula: "one to the leader, one to another controller",
+			role: roleRelay, what: "pulls a second", formula: "one to the leader, one to another controller",
 			value: 2, unit: "1/s", budget: 0, mechanism: "two lowest-ranked nodes of a data centre",
 		},
 		{
-			role: relay, what: "offers a change", formula: "fan-out of the tree",
+			role: roleRelay, what: "offers a change", formula: "fan-out of the tree",
 			value: 8, unit: "messages", budget: 0, mechanism: "bounded tree",
 		},
+	}
+}
+
+func holderRows() []capacityRow {
+	keys := float64(targetCalls) / targetDepth * keyedShare / dataCentres
+	claimMB := keys * windowSecs * (recordBytes + answerBytes) / (1 << 20)
+
+	return []capacityRow{
 		{
-			role: holder, what: "claims kept", formula: "keyed calls/s of a data centre × 600 s × 900 B",
+			role: roleHolder, what: "claims kept", formula: "keyed calls/s of a data centre × 600 s × 900 B",
 			value: claimMB, unit: "MB", budget: memoryBudgetMB, mechanism: "claims in memory on three nodes",
 		},
 		{
-			role: holder, what: "claim messages", formula: "keyed calls/s × 4 (take, complete, two replies)",
+			role: roleHolder, what: "claim messages", formula: "keyed calls/s × 4 (take, complete, two replies)",
 			value: keys * 4, unit: "1/s", budget: 0, mechanism: "majority of three",
 		},
 		{
-			role: holder, what: "change of a group", formula: "claims kept, once a member",
+			role: roleHolder, what: "change of a group", formula: "claims kept, once a member",
 			value: claimMB, unit: "MB", budget: 0, mechanism: "all claims handed over",
 		},
+	}
+}
+
+func (f figures) sourceRows() []capacityRow {
+	sourceChange := f.largest("source_bytes_per_change").Value
+	_, sourceRest := f.slope("rest_source_bytes_per_second")
+	turnover := float64(restartsPerDay+failuresPerDay) / secondsPerDay
+
+	return []capacityRow{
 		{
-			role: controller, what: "pulls", formula: "relays ÷ controllers × 2",
+			role: roleController, what: "pulls", formula: "relays ÷ controllers × 2",
 			value: 2 * 2 * dataCentres / float64(targetControllers), unit: "1/s", budget: 60, mechanism: "token admission",
 		},
 		{
-			role: controller, what: "bytes a change, all controllers", formula: "largest fleet measured",
+			role: roleController, what: "bytes a change, all controllers", formula: "largest fleet measured",
 			value: sourceChange / bytesPerKB, unit: "KB", budget: 0, mechanism: "offers and differences to relays only",
 		},
 		{
-			role: controller, what: "bytes at rest a node added", formula: "slope over nodes",
+			role: roleController, what: "bytes at rest a node added", formula: "slope over nodes",
 			value: sourceRest, unit: "B/s", budget: 0, mechanism: "relays and reports a data centre, not a node",
 		},
 		{
-			role: controller, what: "reports", formula: "data centres × 1/s",
+			role: roleController, what: "reports", formula: "data centres × 1/s",
 			value: dataCentres, unit: "1/s", budget: 0, mechanism: "acknowledgements aggregated by the lowest-ranked node",
 		},
 		{
-			role: controller, what: "VMs set aside", formula: "five voters and up to two learners",
+			role: roleController, what: "VMs set aside", formula: "five voters and up to two learners",
 			value: 7, unit: "VMs", budget: 7, mechanism: "quorum log",
 		},
 		{
-			role: operator, what: "status", formula: "one request",
+			role: roleOperator, what: "status", formula: "one request",
 			value: 1, unit: "request", budget: 0, mechanism: "reports held by the leader",
 		},
 		{
-			role: "fleet", what: "convergence, largest seen", formula: "largest fleet measured",
+			role: roleFleet, what: "convergence, largest seen", formula: "largest fleet measured",
 			value: f.largest("convergence_ms_max").Value, unit: "ms", budget: convergenceBudget, mechanism: "push of digests, pull of differences",
 		},
 		{
-			role: "fleet", what: "membership changes", formula: "(130 + 6) a day × about 6 entries",
+			role: roleFleet, what: "membership changes", formula: "(130 + 6) a day × about 6 entries",
 			value: turnover * 6, unit: "1/s", budget: 0, mechanism: "gossip with fan-out two",
 		},
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -125,7 +125,7 @@
 
 const centre = tiller.DataCentre("kigali-1")
 
-func document(t *testing.T) tiller.Document {
+func document(t testing.TB) tiller.Document {
 	t.Helper()
 
 	d, faults := validator.Validate(tiller.DocumentSpec{
@@ -145,7 +145,7 @@
 }
 
 // newNodes starts nodes that know each other and share claims and strikes.
-func newNodes(t *testing.T, handlers ...http.HandlerFunc) []*fakeNode {
+func newNodes(t testing.TB, handlers ...http.HandlerFunc) []*fakeNode {
 	t.Helper()
 
 	nodes := make([]*fakeNode, 0, len(handlers))
@@ -173,7 +173,7 @@
 	return nodes
 }
 
-func newNode(t *testing.T, i int, h http.HandlerFunc, register *quarantiner.Register, claims *fakeClaims) *fakeNode {
+func newNode(t testing.TB, i int, h http.HandlerFunc, register *quarantiner.Register, claims *fakeClaims) *fakeNode {
 	t.Helper()
 
 	b := &backendServer{handle: h}
