Use plain names for adapters, timeouts and the quickstart's scenario

Cause: names such as desk, patience and tour need explaining to a newcomer, and one header constant was named for what it is not. Change: renamed; behaviour as before.

--- a/claimer/learn.go
+++ b/claimer/learn.go
@@ -22,7 +22,7 @@
 	}
 
 	if g.giveUpAt == 0 {
-		g.giveUpAt = now + learnPatience
+		g.giveUpAt = now + learnTimeout
 	}
 
 	ended, complete := true, g.served >= previous[0].GetEpoch() || previous[0].GetEpoch() == 1
--- a/claimer/member.go
+++ b/claimer/member.go
@@ -21,9 +21,9 @@
 	// MaxRecords bounds the claims that one member keeps.
 	MaxRecords = 200_000
 
-	fetchPeriod   tiller.Millis = 500
-	learnPatience               = 3 * tiller.Second
-	sweepPeriod                 = 10 * tiller.Second
+	fetchPeriod  tiller.Millis = 500
+	learnTimeout               = 3 * tiller.Second
+	sweepPeriod                = 10 * tiller.Second
 )
 
 // Identity names one start of a node as a member of a claim group; a restart gives another identity, since it loses
--- a/cmd/quickstart/crash.go
+++ b/cmd/quickstart/crash.go
@@ -14,12 +14,12 @@
 const crashTimeout = 5 * time.Second
 
 // sendCrash sends the crashing request to some node of the first data centre and returns how it ended.
-func (t *tour) sendCrash() string {
-	first := t.fleet.Plan().DataCentres[0]
+func (s *scenario) sendCrash() string {
+	first := s.fleet.Plan().DataCentres[0]
 
 	var targets []standin.Target
 
-	for _, target := range t.fleet.Targets() {
+	for _, target := range s.fleet.Targets() {
 		if string(target.DataCentre) == first {
 			targets = append(targets, target)
 		}
@@ -28,7 +28,7 @@
 	target := targets[rand.IntN(len(targets))]
 
 	resp, err := resty.New().SetTimeout(crashTimeout).R().SetHeader(standin.HeaderCrash, "yes").
-		Get("http://" + string(target.Address) + t.fleet.Plan().CrashPath)
+		Get("http://" + string(target.Address) + s.fleet.Plan().CrashPath)
 	if err != nil {
 		return err.Error()
 	}
--- a/cmd/quickstart/main.go
+++ b/cmd/quickstart/main.go
@@ -54,5 +54,5 @@
 
 	defer func() { _ = os.RemoveAll(disk) }()
 
-	return newTour(assembler.New(p, disk), document, c.Root().Writer, c.String("timeline")).run(ctx)
+	return newScenario(assembler.New(p, disk), document, c.Root().Writer, c.String("timeline")).run(ctx)
 }
--- a/cmd/quickstart/tour.go
+++ b/cmd/quickstart/scenario.go
@@ -40,8 +40,8 @@
 	crashResends = 4
 )
 
-// tour is the run of the quickstart.
-type tour struct {
+// scenario is the run of the quickstart.
+type scenario struct {
 	fleet    *assembler.Fleet
 	document tiller.DocumentSpec
 	out      io.Writer
@@ -53,58 +53,58 @@
 	versions map[string]tiller.Version
 }
 
-func newTour(f *assembler.Fleet, document tiller.DocumentSpec, out io.Writer, timeline string) *tour {
-	t := &tour{
+func newScenario(f *assembler.Fleet, document tiller.DocumentSpec, out io.Writer, timeline string) *scenario {
+	s := &scenario{
 		fleet: f, document: document, out: out, timeline: timeline, tally: standin.NewTally(f.Ledger()),
 		client: editor.New(transporter.Addresses(f.ControllerAddresses())), versions: map[string]tiller.Version{},
 	}
 
-	return t
+	return s
 }
 
-func (t *tour) say(format string, args ...any) {
+func (s *scenario) say(format string, args ...any) {
 	// Losing a line of the report changes nothing about the run.
-	_, _ = fmt.Fprintf(t.out, format+"\n", args...)
+	_, _ = fmt.Fprintf(s.out, format+"\n", args...)
 }
 
-func (t *tour) run(ctx context.Context) error {
+func (s *scenario) run(ctx context.Context) error {
 	began := time.Now()
 
-	if err := t.fleet.Start(ctx); err != nil {
+	if err := s.fleet.Start(ctx); err != nil {
 		return err
 	}
 
-	err := t.steps(ctx)
+	err := s.steps(ctx)
 	if err != nil {
-		t.tally.Breach("%s", err)
+		s.tally.Breach("%s", err)
 	}
 
-	if err := errors.Join(t.writeTimeline(ctx), t.fleet.Stop()); err != nil {
-		t.tally.Breach("%s", err)
+	if err := errors.Join(s.writeTimeline(ctx), s.fleet.Stop()); err != nil {
+		s.tally.Breach("%s", err)
 	}
 
-	return t.verdict(time.Since(began))
+	return s.verdict(time.Since(began))
 }
 
-func (t *tour) steps(ctx context.Context) error {
-	if err := t.firstDocument(ctx); err != nil {
+func (s *scenario) steps(ctx context.Context) error {
+	if err := s.firstDocument(ctx); err != nil {
 		return err
 	}
 
 	calling, stop := context.WithCancel(ctx)
 	defer stop()
 
-	t.callers = standin.NewCallers(t.fleet.Plan().Scripts, t.fleet.Targets(), t.tally)
+	s.callers = standin.NewCallers(s.fleet.Plan().Scripts, s.fleet.Targets(), s.tally)
 
 	var callers sync.WaitGroup
 	for range callerCount {
-		callers.Go(func() { t.callers.Run(calling, callerPause) })
+		callers.Go(func() { s.callers.Run(calling, callerPause) })
 	}
 
-	go t.watchVersions(calling)
+	go s.watchVersions(calling)
 
 	for _, step := range []func(context.Context) error{
-		t.shiftTraffic, t.drainWorker, t.crashingRequest, t.restartNode, t.loseLeader, t.cutDataCentre,
+		s.shiftTraffic, s.drainWorker, s.crashingRequest, s.restartNode, s.loseLeader, s.cutDataCentre,
 	} {
 		if err := step(ctx); err != nil {
 			return err
@@ -117,33 +117,33 @@
 	return nil
 }
 
-func (t *tour) firstDocument(ctx context.Context) error {
-	if err := t.until(readyBound, "the controllers elect a leader", func() bool {
-		s, err := t.client.Status(ctx)
+func (s *scenario) firstDocument(ctx context.Context) error {
+	if err := s.until(readyBound, "the controllers elect a leader", func() bool {
+		status, err := s.client.Status(ctx)
 
-		return err == nil && s.GetCurrent()
+		return err == nil && status.GetCurrent()
 	}); err != nil {
 		return err
 	}
 
-	if err := t.edit(ctx, "first document", func(*tiller.DocumentSpec) {}); err != nil {
+	if err := s.edit(ctx, "first document", func(*tiller.DocumentSpec) {}); err != nil {
 		return err
 	}
 
-	if err := t.until(readyBound, "all workers are ready and claim groups are placed", func() bool { return t.routable(ctx) }); err != nil {
+	if err := s.until(readyBound, "all workers are ready and claim groups are placed", func() bool { return s.routable(ctx) }); err != nil {
 		return err
 	}
 
-	t.say("fleet        %d controllers, %d nodes in %d data centres", len(t.fleet.Controllers()), len(t.fleet.Nodes()), len(t.fleet.Plan().DataCentres))
+	s.say("fleet        %d controllers, %d nodes in %d data centres", len(s.fleet.Controllers()), len(s.fleet.Nodes()), len(s.fleet.Plan().DataCentres))
 
 	return nil
 }
 
 // routable reports whether every node knows every worker as ready and every claim group.
-func (t *tour) routable(ctx context.Context) bool {
-	for _, n := range t.fleet.Nodes() {
-		r, err := t.client.Inspector(n.Server().Address()).Inspect(ctx, &wire.InspectRequest{})
-		if err != nil || len(r.GetPlacements().GetPlacements()) < len(t.fleet.Plan().DataCentres) {
+func (s *scenario) routable(ctx context.Context) bool {
+	for _, n := range s.fleet.Nodes() {
+		r, err := s.client.Inspector(n.Server().Address()).Inspect(ctx, &wire.InspectRequest{})
+		if err != nil || len(r.GetPlacements().GetPlacements()) < len(s.fleet.Plan().DataCentres) {
 			return false
 		}
 
@@ -155,7 +155,7 @@
 			}
 		}
 
-		if ready < len(t.fleet.Plan().Workers) {
+		if ready < len(s.fleet.Plan().Workers) {
 			return false
 		}
 	}
@@ -163,7 +163,7 @@
 	return true
 }
 
-func (t *tour) until(bound time.Duration, what string, ok func() bool) error {
+func (s *scenario) until(bound time.Duration, what string, ok func() bool) error {
 	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(pollPeriod) {
 		if ok() {
 			return nil
@@ -174,28 +174,28 @@
 }
 
 // edit changes the document and waits until it is in force on every reachable node.
-func (t *tour) edit(ctx context.Context, reason string, change func(*tiller.DocumentSpec)) error {
+func (s *scenario) edit(ctx context.Context, reason string, change func(*tiller.DocumentSpec)) error {
 	ctx, cancel := context.WithTimeout(ctx, editTimeout)
 	defer cancel()
 
-	shown, err := t.client.Show(ctx)
+	shown, err := s.client.Show(ctx)
 	if err != nil {
 		return err
 	}
 
-	change(&t.document)
+	change(&s.document)
 
 	before := tiller.VersionOf(shown.GetVersion())
 
-	e, err := editor.NewEdit(t.document, before, author, reason)
+	e, err := editor.NewEdit(s.document, before, author, reason)
 	if err != nil {
 		return err
 	}
 
-	sent := t.fleet.ControlBytes()
+	sent := s.fleet.ControlBytes()
 	began := time.Now()
 
-	r, err := t.client.Apply(ctx, e)
+	r, err := s.client.Apply(ctx, e)
 	if err != nil {
 		return err
 	}
@@ -207,22 +207,22 @@
 	accepted := time.Since(began)
 	version := tiller.VersionOf(r.GetOutcome().GetVersion())
 
-	inForce := func() bool { return t.fleet.InForce(version) }
-	if err := t.until(convergenceBound, "version "+version.String()+" is in force everywhere", inForce); err != nil {
+	inForce := func() bool { return s.fleet.InForce(version) }
+	if err := s.until(convergenceBound, "version "+version.String()+" is in force everywhere", inForce); err != nil {
 		return err
 	}
 
-	t.say("edit         %-34s %s -> %s  accepted in %d ms, in force on %d nodes in %d ms, %d control bytes meanwhile",
-		reason, before, version, accepted.Milliseconds(), t.reachable(), time.Since(began).Milliseconds(), t.fleet.ControlBytes()-sent)
+	s.say("edit         %-34s %s -> %s  accepted in %d ms, in force on %d nodes in %d ms, %d control bytes meanwhile",
+		reason, before, version, accepted.Milliseconds(), s.reachable(), time.Since(began).Milliseconds(), s.fleet.ControlBytes()-sent)
 
 	return nil
 }
 
-func (t *tour) reachable() int {
+func (s *scenario) reachable() int {
 	n := 0
 
-	for _, node := range t.fleet.Nodes() {
-		if !t.fleet.IsCut(node.Plan().DataCentre) {
+	for _, node := range s.fleet.Nodes() {
+		if !s.fleet.IsCut(node.Plan().DataCentre) {
 			n++
 		}
 	}
@@ -231,39 +231,39 @@
 }
 
 // watchVersions checks that no node ever moves to an older version.
-func (t *tour) watchVersions(ctx context.Context) {
+func (s *scenario) watchVersions(ctx context.Context) {
 	for ctx.Err() == nil {
-		t.mu.Lock()
+		s.mu.Lock()
 
-		for name, n := range t.fleet.Nodes() {
+		for name, n := range s.fleet.Nodes() {
 			v := n.Server().Version()
-			if t.versions[name].NewerThan(v) && !v.IsZero() {
-				t.tally.Breach("%s moved back from %s to %s", name, t.versions[name], v)
+			if s.versions[name].NewerThan(v) && !v.IsZero() {
+				s.tally.Breach("%s moved back from %s to %s", name, s.versions[name], v)
 			}
 
-			t.versions[name] = v
+			s.versions[name] = v
 		}
 
-		t.mu.Unlock()
+		s.mu.Unlock()
 		time.Sleep(pollPeriod)
 	}
 }
 
-func (t *tour) writeTimeline(ctx context.Context) error {
-	addresses := make([]tiller.Address, 0, len(t.fleet.Nodes()))
-	for _, n := range t.fleet.Nodes() {
+func (s *scenario) writeTimeline(ctx context.Context) error {
+	addresses := make([]tiller.Address, 0, len(s.fleet.Nodes()))
+	for _, n := range s.fleet.Nodes() {
 		addresses = append(addresses, n.Server().Address())
 	}
 
-	lines, dropped := t.client.Timelines(ctx, addresses)
+	lines, dropped := s.client.Timelines(ctx, addresses)
 	events := renderer.Merge(renderer.Filter{}, lines...)
-	t.say("time line    %d events of %d processes", len(events), len(lines))
+	s.say("time line    %d events of %d processes", len(events), len(lines))
 
-	if t.timeline == "" {
+	if s.timeline == "" {
 		return nil
 	}
 
-	f, err := os.Create(t.timeline)
+	f, err := os.Create(s.timeline)
 	if err != nil {
 		return eris.Wrap(err, "create time line")
 	}
@@ -271,29 +271,29 @@
 	return errors.Join(renderer.HTML(f, events, dropped), f.Close())
 }
 
-func (t *tour) verdict(took time.Duration) error {
-	broken := t.tally.Check()
-	sent, answered := t.tally.Keys()
+func (s *scenario) verdict(took time.Duration) error {
+	broken := s.tally.Check()
+	sent, answered := s.tally.Keys()
 
-	t.say("served       %v", t.tally.Served())
-	t.say("refused      %v", t.tally.Refused())
-	t.say("keyed        %d requests, %d answered, %d ran twice", sent, answered, t.ranTwice(broken))
-	t.say("took         %s", took.Round(time.Second))
+	s.say("served       %v", s.tally.Served())
+	s.say("refused      %v", s.tally.Refused())
+	s.say("keyed        %d requests, %d answered, %d ran twice", sent, answered, s.ranTwice(broken))
+	s.say("took         %s", took.Round(time.Second))
 
 	for _, b := range broken {
-		t.say("BROKEN       %s", b)
+		s.say("BROKEN       %s", b)
 	}
 
 	if len(broken) > 0 {
 		return launcher.Exitf(launcher.ExitFailed, "%d promises were broken", len(broken))
 	}
 
-	t.say("promises     kept")
+	s.say("promises     kept")
 
 	return nil
 }
 
-func (t *tour) ranTwice(broken []string) int {
+func (s *scenario) ranTwice(broken []string) int {
 	n := 0
 
 	for _, b := range broken {
--- a/detector/receive.go
+++ b/detector/receive.go
@@ -22,7 +22,7 @@
 	c.mergeAll(p.GetEntries())
 
 	if !known {
-		c.welcome(from)
+		c.pushAll(from)
 	} else {
 		c.compareDigests(from, p.GetDigests())
 	}
@@ -170,8 +170,8 @@
 	return "dead"
 }
 
-// welcome sends everything to a node that is new here.
-func (c *Core) welcome(to string) {
+// pushAll sends every table to a node that is new here.
+func (c *Core) pushAll(to string) {
 	for _, dc := range c.table.dataCentres() {
 		c.pushTable(to, dc, true)
 	}
--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -292,7 +292,7 @@
 	}
 
 	if q.atMostOnce {
-		h.Set(HeaderFlags, "true")
+		h.Set(HeaderAtMostOnce, "true")
 	}
 
 	return h
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -62,7 +62,7 @@
 
 	return &request{
 		method: r.Method, target: r.URL.RequestURI(), header: stripHop(r.Header), body: body,
-		route: r.Header.Get(HeaderRoute), class: class, atMostOnce: r.Header.Get(HeaderFlags) != "",
+		route: r.Header.Get(HeaderRoute), class: class, atMostOnce: r.Header.Get(HeaderAtMostOnce) != "",
 		deadline: f.Clock.Now() + tiller.Millis(max(headerInt(r.Header, HeaderDeadline, 0), 0)),
 		key:      r.Header.Get(HeaderKey), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
 		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -40,8 +40,8 @@
 	HeaderRoute = "Tiller-Route"
 	// HeaderStrikes carries the known crashes of a request between nodes, both ways.
 	HeaderStrikes = "Tiller-Strikes"
-	// HeaderFlags carries the route's properties between nodes.
-	HeaderFlags = "Tiller-At-Most-Once"
+	// HeaderAtMostOnce marks calls that need a claim between nodes.
+	HeaderAtMostOnce = "Tiller-At-Most-Once"
 	// HeaderLoad carries the load of the worker on the way back between nodes.
 	HeaderLoad = "Tiller-Load"
 	// HeaderLimit carries the limit of the worker on the way back between nodes.
@@ -51,7 +51,7 @@
 )
 
 var hopOnly = []string{
-	HeaderAttempt, HeaderClass, HeaderRoute, HeaderFlags, HeaderLoad, HeaderLimit, HeaderLength, HeaderStrikes,
+	HeaderAttempt, HeaderClass, HeaderRoute, HeaderAtMostOnce, HeaderLoad, HeaderLimit, HeaderLength, HeaderStrikes,
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -20,7 +20,7 @@
 	MaxDelay tiller.Millis
 }
 
-type parcel struct {
+type message struct {
 	at       tiller.Millis
 	sequence int
 	data     []byte
@@ -31,7 +31,7 @@
 type Net struct {
 	faults   Faults
 	random   *rand.Rand
-	queue    []parcel
+	queue    []message
 	sequence int
 	cut      func(from, to string) bool
 	bytes    map[string]int
@@ -79,16 +79,16 @@
 func (n *Net) put(now tiller.Millis, to string, data []byte) {
 	spread := int64(n.faults.MaxDelay - n.faults.MinDelay)
 	n.sequence++
-	n.queue = append(n.queue, parcel{
+	n.queue = append(n.queue, message{
 		at: now + n.faults.MinDelay + tiller.Millis(n.random.Int64N(spread+1)), sequence: n.sequence, data: data, to: to,
 	})
 }
 
 // Due returns the messages that arrive up to a time, in order of arrival.
 func (n *Net) Due(now tiller.Millis) []*wire.Envelope {
-	var due []parcel
+	var due []message
 
-	n.queue = slices.DeleteFunc(n.queue, func(p parcel) bool {
+	n.queue = slices.DeleteFunc(n.queue, func(p message) bool {
 		if p.at <= now {
 			due = append(due, p)
 		}
@@ -96,7 +96,7 @@
 		return p.at <= now
 	})
 
-	slices.SortFunc(due, func(a, b parcel) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.sequence, b.sequence)) })
+	slices.SortFunc(due, func(a, b message) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.sequence, b.sequence)) })
 
 	out := make([]*wire.Envelope, 0, len(due))
 
--- a/nodeserver/desk.go
+++ b/nodeserver/adapter.go
@@ -53,13 +53,13 @@
 	delete(w.waiting, k)
 }
 
-// claimDesk lets the call path claim keys.
-type claimDesk Server
+// claimAdapter lets the call path claim keys.
+type claimAdapter Server
 
-var _ forwarder.Claims = (*claimDesk)(nil)
+var _ forwarder.Claims = (*claimAdapter)(nil)
 
 // Take waits for the claim group's decision.
-func (d *claimDesk) Take(ctx context.Context, key claimer.Key, digest []byte, attempt string) claimer.Result {
+func (d *claimAdapter) Take(ctx context.Context, key claimer.Key, digest []byte, attempt string) claimer.Result {
 	s := (*Server)(d)
 	result := s.claims.add(attempt)
 
@@ -76,17 +76,17 @@
 }
 
 // Finish passes the outcome of an attempt to the claim group.
-func (d *claimDesk) Finish(key claimer.Key, digest []byte, attempt string, ran bool, answer *wire.Answer) {
+func (d *claimAdapter) Finish(key claimer.Key, digest []byte, attempt string, ran bool, answer *wire.Answer) {
 	(*Server)(d).step(node.FinishClaim{Key: key, Digest: digest, Attempt: attempt, Ran: ran, Answer: answer})
 }
 
-// strikeDesk lets the call path tell of crashes.
-type strikeDesk Server
+// strikeAdapter lets the call path tell of crashes.
+type strikeAdapter Server
 
-var _ forwarder.Strikes = (*strikeDesk)(nil)
+var _ forwarder.Strikes = (*strikeAdapter)(nil)
 
 // Announce waits until the data centre has heard of the crash, for a bounded time.
-func (d *strikeDesk) Announce(ctx context.Context, digests []quarantiner.Digest, route string) {
+func (d *strikeAdapter) Announce(ctx context.Context, digests []quarantiner.Digest, route string) {
 	s := (*Server)(d)
 	token := s.token.Add(1)
 	heard := s.strikes.add(token)
@@ -102,20 +102,20 @@
 }
 
 // Lift clears a request that was served after a crash.
-func (d *strikeDesk) Lift(digest quarantiner.Digest) {
+func (d *strikeAdapter) Lift(digest quarantiner.Digest) {
 	s := (*Server)(d)
 	if s.register.Has(digest) {
 		s.step(node.Lift{Digest: digest})
 	}
 }
 
-// workerDesk tells the call path of the backend server.
-type workerDesk Server
+// workerAdapter tells the call path of the backend server.
+type workerAdapter Server
 
-var _ forwarder.Worker = (*workerDesk)(nil)
+var _ forwarder.Worker = (*workerAdapter)(nil)
 
 // Target returns where the backend server listens and its state.
-func (d *workerDesk) Target() (tiller.Address, wire.BackendState) {
+func (d *workerAdapter) Target() (tiller.Address, wire.BackendState) {
 	s := (*Server)(d)
 
 	s.mu.Lock()
@@ -125,7 +125,7 @@
 }
 
 // Refused notes that the backend server's port refused a connection.
-func (d *workerDesk) Refused() {
+func (d *workerAdapter) Refused() {
 	s := (*Server)(d)
 
 	s.mu.Lock()
--- a/nodeserver/nodeserver.go
+++ b/nodeserver/nodeserver.go
@@ -123,7 +123,7 @@
 	s.forwarder = forwarder.New(forwarder.Options{
 		Name: tiller.Worker(s.settings.Name), DataCentre: tiller.DataCentre(s.settings.DataCentre), Clock: s.clock,
 		Table: &s.table, Balancer: s.balancer, Gate: s.gate, Budget: retrier.NewBudget(), Register: s.register,
-		Claims: (*claimDesk)(s), Strikes: (*strikeDesk)(s), Worker: (*workerDesk)(s),
+		Claims: (*claimAdapter)(s), Strikes: (*strikeAdapter)(s), Worker: (*workerAdapter)(s),
 		Hops: s.hops, Backends: s.backends, Recorder: s.ring, Metrics: s.options.Metrics,
 	})
 
--- a/subscriber/report.go
+++ b/subscriber/report.go
@@ -51,7 +51,7 @@
 	}
 
 	said, ok := c.reports[e.GetName()]
-	if !ok || c.now >= said.at+laggardPatience {
+	if !ok || c.now >= said.at+reportTimeout {
 		addLaggard(r, e.GetName()+": no report")
 
 		return
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -26,8 +26,8 @@
 	reportPeriod                  = 5 * tiller.Second
 	maxBackoff                    = 10 * tiller.Second
 	maxBackoffShift               = 4
-	leaderPatience                = 3 * tiller.Second
-	laggardPatience               = 15 * tiller.Second
+	leaderTimeout                 = 3 * tiller.Second
+	reportTimeout                 = 15 * tiller.Second
 	recentVersions                = 32
 	maxLaggards                   = 16
 	maxCandidates                 = 9
@@ -209,7 +209,7 @@
 	}
 
 	to := c.leader
-	if to == "" || c.now >= c.leaderHeard+leaderPatience {
+	if to == "" || c.now >= c.leaderHeard+leaderTimeout {
 		to = c.controllers[c.nextSource%len(c.controllers)]
 		c.nextSource++
 		c.leader = ""
