Show whole labels and state names on the time line page

Cause: seen in a browser at 13 lanes, the last time label was cut, process names wrapped and states read BACKEND_STATE_READY.

--- a/backend.go
+++ b/backend.go
@@ -1,6 +1,32 @@
 package sycamoretiller
 
-import "gitlab.com/sycamoretiller/sycamoretiller/wire"
+import (
+	"strings"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	statePrefix    = "BACKEND_STATE_"
+	livenessPrefix = "LIVENESS_"
+)
+
+// StateName returns the name of a backend server's state in snake case.
+func StateName(s wire.BackendState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), statePrefix))
+}
+
+// ParseState returns the state of a name in snake case.
+func ParseState(name string) (wire.BackendState, bool) {
+	v, ok := wire.BackendState_value[statePrefix+strings.ToUpper(name)]
+
+	return wire.BackendState(v), ok && name == strings.ToLower(name)
+}
+
+// LivenessName returns the name of a VM's liveness in snake case.
+func LivenessName(l wire.Liveness) string {
+	return strings.ToLower(strings.TrimPrefix(l.String(), livenessPrefix))
+}
 
 // Backend is what a node knows of one backend server, possibly a remote one.
 type Backend struct {
--- a/cmd/tillerctl/read.go
+++ b/cmd/tillerctl/read.go
@@ -251,8 +251,8 @@
 	for _, e := range r.GetEntries() {
 		rows = append(rows, backendRow{
 			Worker: e.GetName(), DataCentre: e.GetDataCentre(), Service: e.GetService(),
-			State:    strings.ToLower(strings.TrimPrefix(e.GetState().String(), "BACKEND_STATE_")),
-			Liveness: strings.ToLower(strings.TrimPrefix(e.GetLiveness().String(), "LIVENESS_")),
+			State:    tiller.StateName(e.GetState()),
+			Liveness: tiller.LivenessName(e.GetLiveness()),
 			Slots:    e.GetSlots(), Connections: e.GetConnections(), CallAddress: e.GetCallAddress(),
 		})
 	}
--- a/nodeserver/nodeserver.go
+++ b/nodeserver/nodeserver.go
@@ -233,7 +233,7 @@
 	}
 
 	if b.State != before {
-		s.ring.Record(tiller.NewEvent(backendEvent(b.State), "backend server is "+b.State.String()))
+		s.ring.Record(tiller.NewEvent(backendEvent(b.State), "backend server is "+tiller.StateName(b.State)))
 	}
 
 	s.step(node.Announce{Backend: b})
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"strings"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/detector"
@@ -81,23 +80,14 @@
 		fault("connections: %d; allowed are 1 to %d", a.Connections, MaxConnections)
 	}
 
-	state, ok := parseState(a.State)
-	if !ok {
+	state, ok := tiller.ParseState(a.State)
+	if !ok || state == wire.BackendState_BACKEND_STATE_NONE {
 		fault("state: %q; allowed are starting, ready, draining, gone", a.State)
 	}
 
 	return state, faults
 }
 
-const statePrefix = "BACKEND_STATE_"
-
-func parseState(s string) (wire.BackendState, bool) {
-	v, ok := wire.BackendState_value[statePrefix+strings.ToUpper(s)]
-	state := wire.BackendState(v)
-
-	return state, ok && state != wire.BackendState_BACKEND_STATE_NONE && s == strings.ToLower(s)
-}
-
 // Refused notes that the server's port refused a connection, which weighs more than its announcements for a while.
 func (c *Core) Refused(now tiller.Millis) { c.distrustUntil = now + distrustFor }
 
--- a/renderer/renderer.go
+++ b/renderer/renderer.go
@@ -129,7 +129,7 @@
 	dotRadius   = 5
 	axisSteps   = 6
 	textBase    = 15
-	rightMargin = 20
+	rightMargin = 60
 )
 
 type dot struct {
