Count cut calls in the quickstart and give the plots room

Cause: the quickstart did not say how many calls ended without an answer, and the legend lay over the lines. Change: a broken connection counts as a broken promise; headroom in the plots.

--- a/cmd/measure/plot.go
+++ b/cmd/measure/plot.go
@@ -33,7 +33,7 @@
 	return []chart{
 		{
 			file: "convergence.svg", title: "Convergence against nodes",
-			xLabel: "nodes", yLabel: "ms until in force everywhere (worst)", name: "convergence_ms_max",
+			xLabel: "nodes", yLabel: "worst of 20, in ms", name: "convergence_ms_max",
 		},
 		{
 			file: "source_bytes.svg", title: "Bytes of the source at rest against nodes",
@@ -92,12 +92,32 @@
 	return out
 }
 
+// headroom leaves space for the legend above the highest point.
+func (x chart) headroom(f figures, variant string) float64 {
+	const (
+		linear      = 1.3
+		logarithmic = 100
+	)
+
+	highest := 0.0
+	for _, p := range x.points(f, variant) {
+		highest = max(highest, p.Y)
+	}
+
+	if x.log {
+		return highest * logarithmic
+	}
+
+	return highest * linear
+}
+
 func (x chart) draw(f figures, path string) error {
 	p := plot.New()
 	p.Title.Text = x.title
 	p.X.Label.Text = x.xLabel
 	p.Y.Label.Text = x.yLabel
 	p.Y.Min = 0
+	p.X.Min = 0
 
 	if x.log {
 		p.Y.Scale = plot.LogScale{}
@@ -118,6 +138,7 @@
 		drawn.Color = colors[variant]
 		dots.Color = colors[variant]
 		p.Add(drawn, dots)
+		p.Y.Max = max(p.Y.Max, x.headroom(f, variant))
 		p.Legend.Add(variant, drawn, dots)
 	}
 
--- a/cmd/quickstart/scenario.go
+++ b/cmd/quickstart/scenario.go
@@ -272,12 +272,18 @@
 }
 
 func (s *scenario) verdict(took time.Duration) error {
+	cut := s.tally.Refused()[standin.ReasonConnection]
+	if cut > 0 {
+		s.tally.Breach("%d calls were cut", cut)
+	}
+
 	broken := s.tally.Check()
 	sent, answered := s.tally.Keys()
 
 	s.say("served       %v", s.tally.Served())
 	s.say("refused      %v", s.tally.Refused())
 	s.say("keyed        %d requests, %d answered, %d ran twice", sent, answered, s.ranTwice(broken))
+	s.say("cut          %d calls without an answer", cut)
 	s.say("took         %s", took.Round(time.Second))
 
 	for _, b := range broken {
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -38,6 +38,9 @@
 	resendPause  = 400 * time.Millisecond
 )
 
+// ReasonConnection counts calls whose connection broke without any answer.
+const ReasonConnection = "connection"
+
 // Callers send calls to nodes and check the answers.
 type Callers struct {
 	scripts []Script
@@ -133,7 +136,7 @@
 
 	resp, err := r.Execute(s.Method, "http://"+string(t.Address)+s.Path)
 	if err != nil {
-		c.tally.refuse("connection", tiller.VerdictMayHaveRun.String(), id)
+		c.tally.refuse(ReasonConnection, tiller.VerdictMayHaveRun.String(), id)
 
 		return false
 	}
