--- a/forwarder/caller.go
+++ b/forwarder/caller.go
@@ -39,11 +39,8 @@
 	cause      string
 	chainLeft  int
 	strikes    int
-}
-
-// digest identifies the request across resends.
-func (q *request) digest() quarantiner.Digest {
-	return quarantiner.DigestOf(q.method, q.target, q.key, q.body)
+	// digest identifies the request across resends.
+	digest quarantiner.Digest
 }
 
 const defaultChainRetries = 2
@@ -129,6 +126,7 @@
 		class: route.Class(), atMostOnce: route.AtMostOnce(), key: key, cause: cause,
 		chainLeft: int(max(0, min(headerInt(r.Header, HeaderRetriesLeft, defaultChainRetries), defaultChainRetries))),
 		deadline:  f.Clock.Now() + timeLimit(r.Header, route, settings),
+		digest:    quarantiner.DigestOf(r.Method, r.URL.RequestURI(), key, body),
 	}
 }
 
@@ -226,14 +224,14 @@
 	q := *c.request
 	q.attempt = uuid.NewString()
 	q.chainLeft = c.attempts.ChainLeft()
-	q.strikes = f.Register.Count(q.digest())
+	q.strikes = f.Register.Count(q.digest)
 
 	answer, err := f.send(ctx, &q, backend, c.settings.Value(tiller.SettingMaxAnswerBytes))
 	f.Balancer.Done(f.Clock.Now(), backend.Worker(), err, policyOf(c.settings))
 
 	if err != nil {
 		c.attempts.Charge(err.Retries())
-		f.Register.Raise(f.Clock.Now(), q.digest(), q.route, err.Strikes())
+		f.Register.Raise(f.Clock.Now(), q.digest, q.route, err.Strikes())
 	} else {
 		c.attempts.Charge(retriesSpent(answer.header))
 		answer.header.Del(HeaderRetriesSpent)
--- a/forwarder/gate.go
+++ b/forwarder/gate.go
@@ -66,6 +66,7 @@
 		deadline: f.Clock.Now() + tiller.Millis(max(headerInt(r.Header, HeaderDeadline, 0), 0)),
 		key:      r.Header.Get(HeaderKey), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
 		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
+		digest: quarantiner.DigestOf(r.Method, r.URL.RequestURI(), r.Header.Get(HeaderKey), body),
 	}, nil
 }
 
@@ -87,12 +88,11 @@
 	defer func() { slot.Release(outcome) }()
 
 	// Strikes that came in while the request waited count too.
-	digest := q.digest()
-	if err := f.quarantine(q, digest, own); err != nil {
+	if err := f.quarantine(q, own); err != nil {
 		return nil, err
 	}
 
-	answer, err := f.runOnce(ctx, q, target, digest, own.Value(tiller.SettingMaxAnswerBytes))
+	answer, err := f.runOnce(ctx, q, target, own.Value(tiller.SettingMaxAnswerBytes))
 	outcome = outcomeOf(answer, err)
 
 	return answer, err
@@ -124,8 +124,8 @@
 }
 
 // quarantine refuses a request that has crashed too many servers, as far as this node or the sending one knows.
-func (f *Forwarder) quarantine(q *request, d quarantiner.Digest, own compiler.Effective) *tiller.CallError {
-	now := f.Clock.Now()
+func (f *Forwarder) quarantine(q *request, own compiler.Effective) *tiller.CallError {
+	now, d := f.Clock.Now(), q.digest
 	f.Register.Raise(now, d, q.route, q.strikes)
 
 	if !f.Register.Refuses(now, d, int(own.Value(tiller.SettingQuarantineStrikes)), own.Seconds(tiller.SettingQuarantineSeconds)) {
@@ -138,9 +138,9 @@
 }
 
 // runOnce claims a keyed request before it runs and keeps its outcome for resends.
-func (f *Forwarder) runOnce(ctx context.Context, q *request, target tiller.Address, d quarantiner.Digest, limit int64) (*Answer, *tiller.CallError) {
+func (f *Forwarder) runOnce(ctx context.Context, q *request, target tiller.Address, limit int64) (*Answer, *tiller.CallError) {
 	if !q.atMostOnce {
-		return f.run(ctx, q, target, d, limit)
+		return f.run(ctx, q, target, limit)
 	}
 
 	key, err := f.parseKey(q.key)
@@ -161,7 +161,7 @@
 	running, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(q.deadline-f.Clock.Now(), 0).Duration())
 	defer cancel()
 
-	answer, err := f.run(running, q, target, d, limit)
+	answer, err := f.run(running, q, target, limit)
 	f.finish(key, digest, q.attempt, answer, err)
 
 	return answer, err
@@ -227,12 +227,12 @@
 }
 
 // run sends the request to the backend server once.
-func (f *Forwarder) run(ctx context.Context, q *request, target tiller.Address, d quarantiner.Digest, limit int64) (*Answer, *tiller.CallError) {
+func (f *Forwarder) run(ctx context.Context, q *request, target tiller.Address, limit int64) (*Answer, *tiller.CallError) {
 	answer, failed := f.Backends.do(ctx, exchange{
 		method: q.method, url: "http://" + string(target) + q.target, to: target, header: q.backendHeader(f.Clock.Now()), body: q.body, limit: limit,
 	})
 	if failed != nil {
-		return nil, f.failed(ctx, q, d, failed)
+		return nil, f.failed(ctx, q, failed)
 	}
 
 	if answer.status == http.StatusServiceUnavailable && parseVerdict(answer.header.Get(HeaderVerdict)) == tiller.VerdictNotRun {
@@ -241,7 +241,7 @@
 		return nil, shed.WithRetryAfter(tiller.Second).WithRetries(retriesSpent(answer.header))
 	}
 
-	f.Strikes.Lift(d)
+	f.Strikes.Lift(q.digest)
 	answer.header.Del(HeaderReason)
 	answer.header.Set(HeaderVerdict, tiller.VerdictRan.String())
 	answer.header.Set(HeaderWorker, string(f.Name))
@@ -250,7 +250,7 @@
 }
 
 // failed tells the data centre of a request whose server died before the answer leaves.
-func (f *Forwarder) failed(ctx context.Context, q *request, d quarantiner.Digest, failed *failure) *tiller.CallError {
+func (f *Forwarder) failed(ctx context.Context, q *request, failed *failure) *tiller.CallError {
 	if failed.refused {
 		f.Worker.Refused()
 
@@ -258,10 +258,10 @@
 	}
 
 	if failed.broken {
-		f.Strikes.Announce(context.WithoutCancel(ctx), []quarantiner.Digest{d}, q.route)
+		f.Strikes.Announce(context.WithoutCancel(ctx), []quarantiner.Digest{q.digest}, q.route)
 	}
 
-	return failed.err.WithStrikes(f.Register.Count(d))
+	return failed.err.WithStrikes(f.Register.Count(q.digest))
 }
 
 func (q *request) backendHeader(now tiller.Millis) http.Header {
--- a/replicator/append.go
+++ b/replicator/append.go
@@ -170,7 +170,7 @@
 
 	s := r.GetSnapshot()
 	if c.cluster == "" {
-		if !invites(s, c.id) {
+		if s.GetCluster() == "" {
 			return
 		}
 
@@ -186,11 +186,6 @@
 	c.replyAppend(from, r.GetSentAt(), true, max(s.GetIndex(), min(c.commit, c.lastIndex())))
 }
 
-// invites reports whether the snapshot is of a cluster and may be taken by a controller without one.
-func invites(s *wire.Snapshot, id string) bool {
-	return s.GetCluster() != "" && id != ""
-}
-
 // install takes a snapshot; entries after it are kept where the log agrees, since a quorum may count on them.
 func (c *Core) install(s *wire.Snapshot) {
 	if c.holds(s.GetIndex()) && c.termAt(s.GetIndex()) == s.GetTerm() {
