Group the packages in families

Cause: thirty packages side by side in the root hid which belong together. Change: moves into document, source, distribution, membership, calls, process and fleet, import paths only; the root keeps interfaces and value types. Result: make test green (every package, -race), linter clean. No change of behaviour.

--- a/balancer/balancer_test.go
+++ b/calls/balancer/balancer_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/claimer/claimer_test.go
+++ b/calls/claimer/claimer_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
 	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
--- a/forwarder/bench_test.go
+++ b/calls/forwarder/bench_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/validator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -10,9 +10,9 @@
 	"github.com/google/uuid"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
 )
 
 // call is one call of a caller.
--- a/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -11,11 +11,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
-	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -7,10 +7,10 @@
 	"strconv"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
-	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
-	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -15,13 +15,13 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
-	"gitlab.com/sycamoretiller/sycamoretiller/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/validator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/forwarder/table.go
+++ b/calls/forwarder/table.go
@@ -2,8 +2,8 @@
 
 import (
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/balancer"
-	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/limiter/limiter_test.go
+++ b/calls/limiter/limiter_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
 )
 
 // bench drives a limiter in virtual time with a backend server of fixed service time.
--- a/retrier/retrier_test.go
+++ b/calls/retrier/retrier_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
 )
 
 func TestRetry(t *testing.T) {
--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -8,9 +8,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/urfave/cli/v3"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/controlserver"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/controlserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
 )
 
 func main() { launcher.Main(command()) }
--- a/cmd/measure/calls.go
+++ b/cmd/measure/calls.go
@@ -15,12 +15,12 @@
 	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/holder"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/assembler"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/cmd/measure/capacity.go
+++ b/cmd/measure/capacity.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
 )
 
 // The target size.
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
 )
 
 func main() { launcher.Main(command()) }
--- a/cmd/measure/plot.go
+++ b/cmd/measure/plot.go
@@ -13,7 +13,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
 )
 
 const (
--- a/cmd/measure/scale.go
+++ b/cmd/measure/scale.go
@@ -12,9 +12,9 @@
 	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/assembler"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/cmd/quickstart/backend.go
+++ b/cmd/quickstart/backend.go
@@ -7,9 +7,9 @@
 	"github.com/urfave/cli/v3"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
 )
 
 func backendCommand() *cli.Command {
--- a/cmd/quickstart/crash.go
+++ b/cmd/quickstart/crash.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-resty/resty/v2"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
 )
 
 const crashTimeout = 5 * time.Second
--- a/cmd/quickstart/main.go
+++ b/cmd/quickstart/main.go
@@ -8,9 +8,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/parser"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/parser"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/assembler"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
 )
 
 func main() { launcher.Main(command()) }
--- a/cmd/quickstart/scenario.go
+++ b/cmd/quickstart/scenario.go
@@ -12,12 +12,12 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/renderer"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/assembler"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/renderer"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/cmd/quickstart/step.go
+++ b/cmd/quickstart/step.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/assembler"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
 )
 
 // shiftTraffic takes a worker out of use by an exception and checks that calls go elsewhere.
--- a/cmd/tillerctl/main.go
+++ b/cmd/tillerctl/main.go
@@ -12,9 +12,9 @@
 	"github.com/urfave/cli/v3"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 )
 
 func main() { launcher.Main(command()) }
--- a/cmd/tillerctl/main_test.go
+++ b/cmd/tillerctl/main_test.go
@@ -15,10 +15,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/controlserver"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/nodeserver"
-	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/controlserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/nodeserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
 )
 
 const patience = 20 * time.Second
--- a/cmd/tillerctl/read.go
+++ b/cmd/tillerctl/read.go
@@ -10,11 +10,11 @@
 	"github.com/urfave/cli/v3"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/cmd/tillerctl/timeline.go
+++ b/cmd/tillerctl/timeline.go
@@ -10,9 +10,9 @@
 	"github.com/urfave/cli/v3"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/launcher"
-	"gitlab.com/sycamoretiller/sycamoretiller/renderer"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/renderer"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/differ/differ.go
+++ b/distribution/differ/differ.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/holder/holder_test.go
+++ b/distribution/holder/holder_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
-	"gitlab.com/sycamoretiller/sycamoretiller/holder"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/holder"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/subscriber/report.go
+++ b/distribution/subscriber/report.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/holder"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/validator/validator_test.go
+++ b/document/validator/validator_test.go
@@ -6,9 +6,9 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/compiler"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
-	"gitlab.com/sycamoretiller/sycamoretiller/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/validator"
 )
 
 func exception(name string, scope tiller.ScopeSpec, value int64) tiller.ExceptionSpec {
--- a/assembler/assembler.go
+++ b/fleet/assembler/assembler.go
@@ -17,10 +17,10 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/controlserver"
-	"gitlab.com/sycamoretiller/sycamoretiller/nodeserver"
-	"gitlab.com/sycamoretiller/sycamoretiller/runner"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/controlserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/nodeserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
 )
 
 // Plan is the fleet file of a deployment.
--- a/assembler/assembler_test.go
+++ b/fleet/assembler/assembler_test.go
@@ -12,11 +12,11 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/assembler"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/standin"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/assembler"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 )
 
 const (
--- a/standin/backend.go
+++ b/fleet/standin/backend.go
@@ -16,8 +16,8 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/registrar"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
 )
 
 // Headers of the stand-ins.
--- a/standin/caller.go
+++ b/fleet/standin/caller.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
 )
 
 // Script is one kind of call.
--- a/internal/fleettest/distribution_test.go
+++ b/internal/fleettest/distribution_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/controller"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/subscriber"
 	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
-	"gitlab.com/sycamoretiller/sycamoretiller/node"
-	"gitlab.com/sycamoretiller/sycamoretiller/subscriber"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/controller"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/internal/fleettest/edit_test.go
+++ b/internal/fleettest/edit_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -13,15 +13,15 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/arbiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/controller"
-	"gitlab.com/sycamoretiller/sycamoretiller/detector"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
 	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
-	"gitlab.com/sycamoretiller/sycamoretiller/journaler"
-	"gitlab.com/sycamoretiller/sycamoretiller/node"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/arbiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/controller"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/internal/fleettest/membership_test.go
+++ b/internal/fleettest/membership_test.go
@@ -6,10 +6,10 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/detector"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
 	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
-	"gitlab.com/sycamoretiller/sycamoretiller/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -7,7 +7,7 @@
 	"net/netip"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/registrar/registrar_test.go
+++ b/membership/registrar/registrar_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/registrar"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -17,14 +17,14 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/arbiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/controller"
-	"gitlab.com/sycamoretiller/sycamoretiller/journaler"
-	"gitlab.com/sycamoretiller/sycamoretiller/monitor"
-	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
-	"gitlab.com/sycamoretiller/sycamoretiller/runner"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/monitor"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/arbiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/controller"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/controlserver/controlserver_test.go
+++ b/process/controlserver/controlserver_test.go
@@ -15,10 +15,10 @@
 	"go.uber.org/goleak"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/controlserver"
-	"gitlab.com/sycamoretiller/sycamoretiller/editor"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
-	"gitlab.com/sycamoretiller/sycamoretiller/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/controlserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/controlserver/operator.go
+++ b/process/controlserver/operator.go
@@ -7,10 +7,10 @@
 	"github.com/twitchtv/twirp"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/arbiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/controller"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
-	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/arbiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/controller"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/controlserver/settings.go
+++ b/process/controlserver/settings.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"slices"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/parser"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/parser"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
 )
 
 // Settings are a controller's settings file.
--- a/node/node.go
+++ b/process/node/node.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
-	"gitlab.com/sycamoretiller/sycamoretiller/detector"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/subscriber"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/subscriber"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/node/strike.go
+++ b/process/node/strike.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/subscriber"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/subscriber"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -7,12 +7,12 @@
 	"sync"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
-	"gitlab.com/sycamoretiller/sycamoretiller/forwarder"
-	"gitlab.com/sycamoretiller/sycamoretiller/node"
-	"gitlab.com/sycamoretiller/sycamoretiller/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
-	"gitlab.com/sycamoretiller/sycamoretiller/registrar"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/recorder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -10,9 +10,9 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/node"
-	"gitlab.com/sycamoretiller/sycamoretiller/runner"
-	"gitlab.com/sycamoretiller/sycamoretiller/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/nodeserver/settings_test.go
+++ b/process/nodeserver/settings_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/nodeserver"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/nodeserver"
 )
 
 const validSettings = `name: casting-board-1
--- a/recorder/recorder_test.go
+++ b/process/recorder/recorder_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
-	"gitlab.com/sycamoretiller/sycamoretiller/renderer"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/renderer"
 )
 
 // TestMergeFollowsCauseWhenClocksDisagree sends a message from a fast clock to a slow one.
--- a/renderer/renderer.go
+++ b/process/renderer/renderer.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/recorder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/renderer/renderer_test.go
+++ b/process/renderer/renderer_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/renderer"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/renderer"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/transporter/transporter.go
+++ b/process/transporter/transporter.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/recorder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/arbiter/arbiter.go
+++ b/source/arbiter/arbiter.go
@@ -11,9 +11,9 @@
 	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/differ"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
-	"gitlab.com/sycamoretiller/sycamoretiller/validator"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/differ"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/validator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/arbiter/arbiter_test.go
+++ b/source/arbiter/arbiter_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/arbiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/arbiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/controller/edit.go
+++ b/source/controller/edit.go
@@ -7,8 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/arbiter"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/arbiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/controller/serve.go
+++ b/source/controller/serve.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/editor/editor.go
+++ b/source/editor/editor.go
@@ -12,8 +12,8 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/claimer"
-	"gitlab.com/sycamoretiller/sycamoretiller/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/journaler/journaler.go
+++ b/source/journaler/journaler.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/journaler/journaler_test.go
+++ b/source/journaler/journaler_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gitlab.com/sycamoretiller/sycamoretiller/journaler"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/replicator/cluster_test.go
+++ b/source/replicator/cluster_test.go
@@ -11,8 +11,8 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
-	"gitlab.com/sycamoretiller/sycamoretiller/journaler"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/replicator/core_test.go
+++ b/source/replicator/core_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
--- a/replicator/replicator_test.go
+++ b/source/replicator/replicator_test.go
@@ -9,7 +9,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
-	"gitlab.com/sycamoretiller/sycamoretiller/replicator"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
