--- a/backend.go
+++ b/backend.go
@@ -37,6 +37,8 @@
 	slots       int
 	state       wire.BackendState
 	readySince  Millis
+	coldUntil   Millis
+	instance    string
 	suspect     bool
 }
 
@@ -50,6 +52,8 @@
 		slots:       int(e.GetSlots()),
 		state:       e.GetState(),
 		readySince:  Millis(e.GetReadySince()),
+		coldUntil:   Millis(e.GetColdUntil()),
+		instance:    e.GetInstance(),
 		suspect:     e.GetLiveness() != wire.Liveness_LIVENESS_ALIVE,
 	}
 }
@@ -77,5 +81,11 @@
 // ReadySince returns when it became ready, by its own node's clock.
 func (b Backend) ReadySince() Millis { return b.readySince }
 
+// ColdUntil returns until when the server is slow after its start, by its own node's clock; zero if it does not tell.
+func (b Backend) ColdUntil() Millis { return b.coldUntil }
+
+// Instance returns the start of the server, empty if it does not tell.
+func (b Backend) Instance() string { return b.instance }
+
 // Suspect reports whether peers doubt that its VM is alive.
 func (b Backend) Suspect() bool { return b.suspect }
--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -15,6 +15,10 @@
 	slowStartFloor   = 0.1
 	percent          = 100
 	spillUtilisation = 1.0
+	// coldShare is the part of its usual load that a server takes while it says that it is slow.
+	coldShare = 0.5
+	// maxColdLeft tells a cold server from one whose node's clock is ahead.
+	maxColdLeft = tiller.Minute
 )
 
 // Policy holds the settings of a service at this node.
@@ -159,6 +163,16 @@
 
 // warmth grows from a small share to one over the slow start. A ready time ahead of this node's clock counts as long ago.
 func warmth(now tiller.Millis, c Candidate, p Policy) float64 {
+	// A server that names its starts also tells how long it stays slow.
+	if c.backend.Instance() != "" {
+		left := c.backend.ColdUntil() - now
+		if left > 0 && left < maxColdLeft {
+			return coldShare
+		}
+
+		return 1
+	}
+
 	since := c.backend.ReadySince()
 	if p.SlowStart <= 0 || now >= since+p.SlowStart || now < since {
 		return 1
--- /dev/null
+++ b/calls/balancer/splitter.go
@@ -0,0 +1,94 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+)
+
+// Splitter shares the calls of each route among its services by smooth weighted round robin, so that every share is kept over
+// a few dozen calls. It is safe for concurrent use.
+type Splitter struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	routes map[string]*split
+}
+
+type split struct {
+	targets []tiller.Target
+	credit  []int64
+}
+
+// NewSplitter returns a splitter. The random source spreads the starts of nodes that begin together.
+func NewSplitter(random *rand.Rand) *Splitter {
+	return &Splitter{random: random, routes: map[string]*split{}}
+}
+
+// Pick returns the service for the next call of a route.
+func (s *Splitter) Pick(r tiller.Route) tiller.Service {
+	targets := r.Targets()
+	if len(targets) == 1 {
+		return targets[0].Service()
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	current := s.routes[r.Name()]
+	if current == nil || !slices.Equal(current.targets, targets) {
+		current = s.start(targets)
+		s.routes[r.Name()] = current
+	}
+
+	return current.next()
+}
+
+func (s *Splitter) start(targets []tiller.Target) *split {
+	started := &split{targets: targets, credit: make([]int64, len(targets))}
+	for range s.random.Int64N(sum(targets)) % maxWarmUp {
+		started.next()
+	}
+
+	return started
+}
+
+// maxWarmUp bounds the random start within the cycle of a route.
+const maxWarmUp = 100
+
+// Forget drops the routes that a document no longer holds.
+func (s *Splitter) Forget(known tiller.Set[string]) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for name := range s.routes {
+		if !known.Has(name) {
+			delete(s.routes, name)
+		}
+	}
+}
+
+func (s *split) next() tiller.Service {
+	best := 0
+
+	for i, t := range s.targets {
+		s.credit[i] += t.Weight()
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+
+	s.credit[best] -= sum(s.targets)
+
+	return s.targets[best].Service()
+}
+
+func sum(targets []tiller.Target) int64 {
+	total := int64(0)
+	for _, t := range targets {
+		total += t.Weight()
+	}
+
+	return total
+}
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -10,6 +10,8 @@
 	"github.com/google/uuid"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
 	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
@@ -24,31 +26,13 @@
 	attempts *retrier.Call
 }
 
-// request is what travels to a gate.
-type request struct {
-	method     string
-	target     string
-	header     http.Header
-	body       []byte
-	route      string
-	class      tiller.Class
-	atMostOnce bool
-	deadline   tiller.Millis
-	key        string
-	attempt    string
-	cause      string
-	chainLeft  int
-	strikes    int
-	// digest identifies the request across resends.
-	digest quarantiner.Digest
-}
-
 const defaultChainRetries = 2
 
+// serveCaller routes a call of a caller to a worker and passes the answer on.
 func (f *Forwarder) serveCaller(w http.ResponseWriter, r *http.Request) {
 	c, err := f.newCall(w, r)
 	if err != nil {
-		f.refuse(w, err)
+		f.refuse(w, nil, err)
 
 		return
 	}
@@ -56,30 +40,37 @@
 	ctx, cancel := context.WithTimeout(r.Context(), (c.request.deadline - f.Clock.Now()).Duration())
 	defer cancel()
 
+	// A caller sends a pipelined request again when an answer in front of it closes the connection.
+	if !c.route.Idempotent() && acceptor.AwaitTurn(ctx) != nil {
+		f.refuse(w, c, notRun(tiller.ReasonCancelled, "the answers in front of the request took too long"))
+
+		return
+	}
+
 	answer, err := f.attempt(ctx, c)
 	if err != nil {
-		f.refuse(w, err.WithRetries(c.attempts.Spent()))
+		f.refuse(w, c, err.WithRetries(c.attempts.Spent()))
 
 		return
 	}
 
 	f.served.Inc(1)
+	f.log.served(c, answer)
 
-	h := stripHop(answer.header)
-	h.Set(HeaderHome, string(f.DataCentre))
-	h.Set(HeaderVersion, c.table.Version().String())
-	h.Set(HeaderCause, c.request.cause)
-	setInt(h, HeaderRetriesSpent, int64(c.attempts.Spent()))
-	(&Answer{status: answer.status, header: h, body: answer.body}).write(w)
+	served := tiller.NewServedBy(tiller.VerdictRan, answer.worker, c.table.Version(), f.DataCentre, c.request.cause, c.attempts.Spent(), answer.replayed)
+	answer.header = endToEnd(answer.header)
+	f.Dialect.Serve(answer.header, served)
+	answerTo(w, answer)
 }
 
-func (f *Forwarder) refuse(w http.ResponseWriter, err *tiller.CallError) {
+// refuse answers a call that is not served; the call is nil where it could not be read.
+func (f *Forwarder) refuse(w http.ResponseWriter, c *call, err *tiller.CallError) {
 	f.refused.Inc(1)
 	f.noteShed(err)
+	f.log.refused(c, err)
 
-	a := refusalAnswer(err)
-	a.header.Set(HeaderHome, string(f.DataCentre))
-	a.write(w)
+	r := f.Dialect.Refuse(err, f.DataCentre)
+	wholeAnswer(r.Status(), r.Header(), r.Body()).write(w)
 }
 
 func notRun(reason tiller.Reason, detail string) *tiller.CallError {
@@ -92,52 +83,70 @@
 		return nil, notRun(tiller.ReasonNotReady, "the node has no configuration yet").WithRetryAfter(tiller.Second)
 	}
 
-	route, ok := table.Match(r.Method, r.URL.Path)
+	target := rawTarget(r)
+
+	route, ok := table.Match(r.Host, r.Method, rawPath(target))
 	if !ok || (route.Internal() && !f.fromWorker(r)) {
-		return nil, notRun(tiller.ReasonNoRoute, "no route for "+r.Method+" "+r.URL.Path)
+		return nil, notRun(tiller.ReasonNoRoute, "no route for "+r.Method+" "+r.Host+rawPath(target))
 	}
 
-	key := r.Header.Get(HeaderKey)
-	if route.AtMostOnce() && key == "" {
+	terms := f.Dialect.Terms(r.Header)
+	if route.AtMostOnce() && terms.Key() == "" {
 		return nil, notRun(tiller.ReasonKeyMissing, "this call needs the header "+HeaderKey+": "+string(f.DataCentre)+".<UUID version 7>")
 	}
 
-	settings := table.Settings(route.Service())
+	service := f.Splitter.Pick(route)
+	settings := table.Settings(service)
 
-	body, err := readBody(w, r, settings.Value(tiller.SettingMaxRequestBytes))
+	left := timeLimit(terms, route, settings)
+	if left <= 0 {
+		return nil, notRun(tiller.ReasonDeadline, "no time is left for the call")
+	}
+
+	deadline := f.Clock.Now() + left
+
+	body, err := readPayload(w, r, left, settings.Value(tiller.SettingMaxRequestBytes))
 	if err != nil {
 		return nil, err
 	}
 
-	c := &call{route: route, settings: settings, table: table, request: f.newRequest(r, route, settings, key, body)}
-	c.attempts = retrier.NewCall(route.Idempotent(), int(settings.Value(tiller.SettingAttempts)), c.request.chainLeft, f.Budget)
+	q := f.newRequest(r, route, terms, body)
+	q.service = service
+	q.deadline = deadline
+
+	attempts := int(settings.Value(tiller.SettingAttempts))
+	if route.MaxAttempts() > 0 {
+		attempts = route.MaxAttempts()
+	}
+
+	c := &call{route: route, settings: settings, table: table, request: q}
+	c.attempts = retrier.NewCall(route.Idempotent(), attempts, q.chainLeft, f.Budget)
 
 	return c, nil
 }
 
-func (f *Forwarder) newRequest(r *http.Request, route tiller.Route, settings compiler.Effective, key string, body []byte) *request {
-	cause := r.Header.Get(HeaderCause)
+func (f *Forwarder) newRequest(r *http.Request, route tiller.Route, terms tiller.CallTerms, body *payload) *request {
+	cause := terms.Cause()
 	if cause == "" {
 		cause = uuid.NewString()
 	}
 
 	return &request{
-		method: r.Method, target: r.URL.RequestURI(), header: stripHop(r.Header), body: body, route: route.Name(),
-		class: route.Class(), atMostOnce: route.AtMostOnce(), key: key, cause: cause,
-		chainLeft: int(max(0, min(headerInt(r.Header, HeaderRetriesLeft, defaultChainRetries), defaultChainRetries))),
-		deadline:  f.Clock.Now() + timeLimit(r.Header, route, settings),
-		digest:    quarantiner.DigestOf(r.Method, r.URL.RequestURI(), key, body),
+		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), body: body, route: route.Name(),
+		priority: route.Priority(), atMostOnce: route.AtMostOnce(), id: terms.ID(), key: terms.Key(), cause: cause, origin: f.Service,
+		chainLeft: max(0, min(terms.RetriesLeft().OrElse(defaultChainRetries), defaultChainRetries)),
+		digest:    quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.kept),
 	}
 }
 
 // timeLimit is the shortest of the caller's deadline and the configured time.
-func timeLimit(h http.Header, route tiller.Route, settings compiler.Effective) tiller.Millis {
+func timeLimit(terms tiller.CallTerms, route tiller.Route, settings compiler.Effective) tiller.Millis {
 	limit := settings.Millis(tiller.SettingCallTimeoutMs)
 	if route.Timeout() > 0 {
 		limit = route.Timeout()
 	}
 
-	return max(0, min(limit, tiller.Millis(headerInt(h, HeaderDeadline, int64(limit)))))
+	return max(0, min(limit, terms.TimeLeft().OrElse(limit)))
 }
 
 // fromWorker reports whether the caller runs on this node's VM.
@@ -153,19 +162,6 @@
 	return errors.Join(err, localErr) == nil && (remoteHost == localHost || net.ParseIP(remoteHost).IsLoopback())
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *tiller.CallError) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return body, nil
-	}
-
-	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
-		return nil, notRun(tiller.ReasonRequestTooLarge, "the request exceeds max_request_bytes")
-	}
-
-	return nil, notRun(tiller.ReasonCancelled, "the request broke off")
-}
-
 // attempt tries workers until one answers or no retry is allowed.
 func (f *Forwarder) attempt(ctx context.Context, c *call) (*Answer, *tiller.CallError) {
 	f.Budget.Save(c.settings.Value(tiller.SettingRetryBudgetPercent))
@@ -175,7 +171,7 @@
 	var last *tiller.CallError
 
 	for {
-		backend, ok := f.Balancer.Pick(f.Clock.Now(), c.table.Candidates(c.route.Service()), tried, policyOf(c.settings)).Get()
+		backend, ok := f.Balancer.Pick(f.Clock.Now(), c.table.Candidates(c.request.service), tried, policyOf(c.settings)).Get()
 		if !ok {
 			return nil, noWorker(c, last)
 		}
@@ -189,11 +185,12 @@
 		}
 
 		last = moreSevere(last, err)
-		if ctx.Err() != nil || !c.attempts.Retry(err) {
+		if ctx.Err() != nil || !c.request.body.resendable() || !c.attempts.Retry(err) {
 			return nil, last
 		}
 
 		f.retried.Inc(1)
+		f.log.retried(c, backend, err)
 		f.Recorder.Record(tiller.NewEvent(tiller.EventRetried, err.Error(),
 			tiller.WithCause(string(backend.Worker())), tiller.WithKey(c.request.cause)))
 
@@ -217,7 +214,7 @@
 		return last
 	}
 
-	return notRun(tiller.ReasonNoBackend, "no backend server of "+string(c.route.Service())+" is known and ready").WithRetryAfter(tiller.Second)
+	return notRun(tiller.ReasonNoBackend, "no backend server of "+string(c.request.service)+" is known and ready").WithRetryAfter(tiller.Second)
 }
 
 func (f *Forwarder) attemptAt(ctx context.Context, c *call, backend tiller.Backend) (*Answer, *tiller.CallError) {
@@ -234,7 +231,6 @@
 		f.Register.Raise(f.Clock.Now(), q.digest, q.route, err.Strikes())
 	} else {
 		c.attempts.Charge(retriesSpent(answer.header))
-		answer.header.Del(HeaderRetriesSpent)
 	}
 
 	return answer, err
@@ -246,26 +242,45 @@
 		return f.admit(ctx, q)
 	}
 
-	answer, failed := f.Hops.do(ctx, exchange{
-		method: q.method, url: "http://" + string(backend.CallAddress()) + q.target, to: backend.CallAddress(),
-		header: q.hopHeader(f.Clock.Now()), body: q.body, limit: limit,
+	x, failed := f.Hops.Do(ctx, exchanger.Request{
+		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: q.hopHeader(f.Clock.Now(), backend),
+		Prefix: q.body.kept, Rest: q.takeRest(), Length: q.body.length,
 	})
 	if failed != nil {
-		return nil, failed.err
+		return nil, callFailure(ctx, failed)
+	}
+
+	answer, err := readAnswer(x, limit)
+	if err != nil {
+		return nil, err
 	}
 
-	f.Balancer.Report(f.Clock.Now(), backend.Worker(), int(headerInt(answer.header, HeaderLoad, 0)), int(headerInt(answer.header, HeaderLimit, 1)))
+	h := answer.header
+	f.Balancer.Report(f.Clock.Now(), backend.Worker(), int(headerInt(h, HeaderLoad, 0)), int(headerInt(h, HeaderLimit, 1)))
 
 	return f.checkHop(q, answer)
 }
 
-// checkHop makes sure that the answer is whole and belongs to this attempt.
+// takeRest returns what is left of a body that can be sent only once.
+func (q *request) takeRest() io.Reader {
+	if q.body.rest == nil {
+		return nil
+	}
+
+	q.body.spent = true
+
+	return q.body.rest
+}
+
+// checkHop makes sure that the answer of another node is whole and belongs to this attempt.
 func (f *Forwarder) checkHop(q *request, a *Answer) (*Answer, *tiller.CallError) {
 	if a.header.Get(HeaderAttempt) != q.attempt {
+		a.close()
+
 		return nil, tiller.NewCallError(tiller.VerdictMayHaveRun, tiller.ReasonBackendFailed, "the answer belongs to another attempt")
 	}
 
-	if headerInt(a.header, HeaderLength, -1) != int64(len(a.body)) {
+	if a.rest == nil && headerInt(a.header, HeaderLength, -1) != int64(len(a.body)) {
 		return nil, tiller.NewCallError(tiller.VerdictMayHaveRun, tiller.ReasonAnswerTruncated, "the answer between nodes is not whole")
 	}
 
@@ -273,15 +288,21 @@
 		return nil, refusalOf(a)
 	}
 
+	a.worker = tiller.Worker(a.header.Get(HeaderWorker))
+	a.replayed = a.header.Get(HeaderReplayed) != ""
+
 	return a, nil
 }
 
-func (q *request) hopHeader(now tiller.Millis) http.Header {
+func (q *request) hopHeader(now tiller.Millis, to tiller.Backend) http.Header {
 	h := q.header.Clone()
 	h.Set(HeaderAttempt, q.attempt)
-	h.Set(HeaderClass, q.class.String())
+	h.Set(HeaderTo, string(to.Worker()))
+	h.Set(HeaderService, string(q.service))
+	h.Set(HeaderOrigin, string(q.origin))
 	h.Set(HeaderRoute, q.route)
 	h.Set(HeaderCause, q.cause)
+	setInt(h, HeaderPriority, int64(q.priority))
 	setInt(h, HeaderDeadline, int64(max(q.deadline-now, 0)))
 	setInt(h, HeaderRetriesLeft, int64(q.chainLeft))
 
--- /dev/null
+++ b/calls/forwarder/failure.go
@@ -0,0 +1,30 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
+)
+
+// callFailure turns a failed exchange into an error with the verdict on the request.
+func callFailure(ctx context.Context, failed *exchanger.ExchangeError) *tiller.CallError {
+	verdict := tiller.VerdictMayHaveRun
+	if !failed.Sent() {
+		verdict = tiller.VerdictNotRun
+	}
+
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return tiller.NewCallError(verdict, tiller.ReasonDeadline, "no answer before the deadline")
+	case ctx.Err() != nil:
+		return tiller.NewCallError(verdict, tiller.ReasonCancelled, "the caller gave up")
+	case !failed.Sent():
+		return tiller.NewCallError(verdict, tiller.ReasonUnreachable, eris.Cause(failed).Error())
+	default:
+		return tiller.NewCallError(verdict, tiller.ReasonBackendFailed, "the connection broke before the answer: "+eris.Cause(failed).Error())
+	}
+}
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -8,11 +8,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
@@ -35,10 +37,22 @@
 	Lift(d quarantiner.Digest)
 }
 
+// Target is the backend server on this VM.
+type Target struct {
+	address  tiller.Address
+	instance string
+	state    wire.BackendState
+}
+
+// NewTarget returns where a backend server listens, which start of it that is, and its state.
+func NewTarget(address tiller.Address, instance string, state wire.BackendState) Target {
+	return Target{address: address, instance: instance, state: state}
+}
+
 // Worker tells of the backend server on this VM.
 type Worker interface {
-	// Target returns where the server listens and what state it is in.
-	Target() (tiller.Address, wire.BackendState)
+	// Target returns the server as it is now.
+	Target() Target
 	// Refused notes that the server's port refused a connection.
 	Refused()
 }
@@ -56,10 +70,20 @@
 	Claims     Claims
 	Strikes    Strikes
 	Worker     Worker
-	Hops       Dialer
-	Backends   Dialer
+	Hops       *exchanger.Exchanger
+	Backends   *exchanger.Exchanger
 	Recorder   tiller.Recorder
 	Metrics    metrics.Registry
+	// Service is what the worker on this VM offers.
+	Service tiller.Service
+	// Dialect is what callers and backend servers speak.
+	Dialect tiller.Dialect
+	// Splitter shares the calls of a route among its services.
+	Splitter *balancer.Splitter
+	// ConfirmCrashes makes a broken connection count as a crash only if the server's port refuses connections then.
+	ConfirmCrashes bool
+	// Log takes one line for each decision on a call.
+	Log logr.Logger
 }
 
 // Forwarder is the HTTP handler of a node for callers and for other nodes.
@@ -71,6 +95,7 @@
 	served   metrics.Counter
 	refused  metrics.Counter
 	retried  metrics.Counter
+	log      callLog
 }
 
 var _ http.Handler = (*Forwarder)(nil)
@@ -83,6 +108,7 @@
 		served:  metrics.GetOrRegisterCounter("calls.served", options.Metrics),
 		refused: metrics.GetOrRegisterCounter("calls.refused", options.Metrics),
 		retried: metrics.GetOrRegisterCounter("calls.retried", options.Metrics),
+		log:     callLog{log: options.Log, clock: options.Clock},
 	}
 }
 
@@ -97,6 +123,16 @@
 		return
 	}
 
+	f.serveTimed(w, r)
+}
+
+// CallerHandler returns the handler for callers alone, for deployments where nodes have an address of their own.
+func (f *Forwarder) CallerHandler() http.Handler { return http.HandlerFunc(f.serveTimed) }
+
+// HopHandler returns the handler for other nodes alone.
+func (f *Forwarder) HopHandler() http.Handler { return http.HandlerFunc(f.serveHop) }
+
+func (f *Forwarder) serveTimed(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	f.serveCaller(w, r)
 	f.latency.UpdateSince(start)
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -8,6 +8,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
@@ -36,12 +37,22 @@
 
 func (f *Forwarder) writeHop(w http.ResponseWriter, attempt string, a *Answer) {
 	load, limit := f.Gate.Load()
-	h := a.header.Clone()
+	a.header = a.header.Clone()
+	h := a.header
 	h.Set(HeaderAttempt, attempt)
 	h.Set(HeaderLength, strconv.Itoa(len(a.body)))
 	setInt(h, HeaderLoad, int64(load))
 	setInt(h, HeaderLimit, int64(limit))
-	(&Answer{status: a.status, header: h, body: a.body}).write(w)
+
+	if a.worker != "" {
+		h.Set(HeaderWorker, string(a.worker))
+	}
+
+	if a.replayed {
+		h.Set(HeaderReplayed, "true")
+	}
+
+	answerTo(w, a)
 }
 
 func (f *Forwarder) hopRequest(w http.ResponseWriter, r *http.Request) (*request, *tiller.CallError) {
@@ -50,27 +61,32 @@
 		return nil, notRun(tiller.ReasonNotReady, "the node has no configuration yet")
 	}
 
-	class, err := tiller.ClassString(r.Header.Get(HeaderClass))
-	if err != nil {
-		return nil, notRun(tiller.ReasonNoRoute, "unknown class")
+	// The address of a VM that is gone may belong to another worker by now.
+	if to := r.Header.Get(HeaderTo); to != string(f.Name) || r.Header.Get(HeaderService) != string(f.Service) {
+		return nil, notRun(tiller.ReasonUnreachable, "the request is for "+to+", this is "+string(f.Name))
 	}
 
-	body, callErr := readBody(w, r, table.Own().Value(tiller.SettingMaxRequestBytes))
-	if callErr != nil {
-		return nil, callErr
+	left := tiller.Millis(max(headerInt(r.Header, HeaderDeadline, 0), 0))
+	deadline := f.Clock.Now() + left
+
+	body, err := readPayload(w, r, left, table.Own().Value(tiller.SettingMaxRequestBytes))
+	if err != nil {
+		return nil, err
 	}
 
+	terms := f.Dialect.Terms(r.Header)
+
 	return &request{
-		method: r.Method, target: r.URL.RequestURI(), header: stripHop(r.Header), body: body,
-		route: r.Header.Get(HeaderRoute), class: class, atMostOnce: r.Header.Get(HeaderAtMostOnce) != "",
-		deadline: f.Clock.Now() + tiller.Millis(max(headerInt(r.Header, HeaderDeadline, 0), 0)),
-		key:      r.Header.Get(HeaderKey), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
+		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), body: body,
+		route: r.Header.Get(HeaderRoute), service: f.Service, origin: tiller.Service(r.Header.Get(HeaderOrigin)),
+		priority: int(headerInt(r.Header, HeaderPriority, 0)), atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", deadline: deadline,
+		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
 		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
-		digest: quarantiner.DigestOf(r.Method, r.URL.RequestURI(), r.Header.Get(HeaderKey), body),
+		digest: quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.kept),
 	}, nil
 }
 
-// admit runs the request on this worker's backend server, or refuses it.
+// admit runs the request on this worker's backend server, or refuses it. The slot is held until the answer is passed on.
 func (f *Forwarder) admit(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
 	target, err := f.ready()
 	if err != nil {
@@ -79,23 +95,30 @@
 
 	own := f.Table.Load().Own()
 
-	slot, err := f.Gate.Acquire(ctx, q.class, q.deadline)
+	slot, err := f.Gate.Acquire(ctx, q.priority, q.deadline)
 	if err != nil {
 		return nil, err
 	}
 
-	outcome := limiter.OutcomeFailed
-	defer func() { slot.Release(outcome) }()
+	answer, err := f.admitted(ctx, q, target, own)
+	outcome := outcomeOf(answer, err)
+
+	if answer == nil || answer.rest == nil {
+		slot.Release(outcome)
+	} else {
+		answer.release(func() { slot.Release(outcome) })
+	}
 
+	return answer, err
+}
+
+func (f *Forwarder) admitted(ctx context.Context, q *request, target Target, own compiler.Effective) (*Answer, *tiller.CallError) {
 	// Strikes that came in while the request waited count too.
 	if err := f.quarantine(q, own); err != nil {
 		return nil, err
 	}
 
-	answer, err := f.runOnce(ctx, q, target, own.Value(tiller.SettingMaxAnswerBytes))
-	outcome = outcomeOf(answer, err)
-
-	return answer, err
+	return f.runOnce(ctx, q, target, own.Value(tiller.SettingMaxAnswerBytes))
 }
 
 func outcomeOf(a *Answer, err *tiller.CallError) limiter.Outcome {
@@ -110,14 +133,14 @@
 }
 
 // ready returns where the backend server listens, or why it takes no work.
-func (f *Forwarder) ready() (tiller.Address, *tiller.CallError) {
-	target, state := f.Worker.Target()
+func (f *Forwarder) ready() (Target, *tiller.CallError) {
+	target := f.Worker.Target()
 
 	switch {
-	case f.draining.Load() || state == wire.BackendState_BACKEND_STATE_DRAINING:
-		return "", notRun(tiller.ReasonDraining, "the worker is leaving")
-	case state != wire.BackendState_BACKEND_STATE_READY:
-		return "", notRun(tiller.ReasonNoBackend, "the worker's backend server is not ready")
+	case f.draining.Load() || target.state == wire.BackendState_BACKEND_STATE_DRAINING:
+		return Target{}, notRun(tiller.ReasonDraining, "the worker is leaving")
+	case target.state != wire.BackendState_BACKEND_STATE_READY:
+		return Target{}, notRun(tiller.ReasonNoBackend, "the worker's backend server is not ready")
 	default:
 		return target, nil
 	}
@@ -138,7 +161,7 @@
 }
 
 // runOnce claims a keyed request before it runs and keeps its outcome for resends.
-func (f *Forwarder) runOnce(ctx context.Context, q *request, target tiller.Address, limit int64) (*Answer, *tiller.CallError) {
+func (f *Forwarder) runOnce(ctx context.Context, q *request, target Target, limit int64) (*Answer, *tiller.CallError) {
 	if !q.atMostOnce {
 		return f.run(ctx, q, target, limit)
 	}
@@ -148,7 +171,7 @@
 		return nil, err
 	}
 
-	digest := []byte(quarantiner.DigestOf(q.method, q.target, "", q.body))
+	digest := []byte(quarantiner.DigestOf(q.method, q.target, "", q.body.kept))
 
 	result := f.Claims.Take(ctx, key, digest, q.attempt)
 	if result.Verdict() != wire.ClaimVerdict_CLAIM_VERDICT_GRANTED {
@@ -159,11 +182,16 @@
 
 	// A claimed request runs to its end, so that a resend finds its outcome.
 	running, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(q.deadline-f.Clock.Now(), 0).Duration())
-	defer cancel()
 
 	answer, err := f.run(running, q, target, limit)
 	f.finish(key, digest, q.attempt, answer, err)
 
+	if answer != nil {
+		answer.release(cancel)
+	} else {
+		cancel()
+	}
+
 	return answer, err
 }
 
@@ -216,59 +244,91 @@
 	}
 
 	h := http.Header{}
-	h.Set(HeaderVerdict, tiller.VerdictRan.String())
-	h.Set(HeaderReplayed, "true")
-
 	if kept.GetContentType() != "" {
 		h.Set("Content-Type", kept.GetContentType())
 	}
 
-	return &Answer{status: int(kept.GetStatus()), header: h, body: kept.GetBody()}, nil
+	a := wholeAnswer(int(kept.GetStatus()), h, kept.GetBody())
+	a.replayed = true
+
+	return a, nil
 }
 
 // run sends the request to the backend server once.
-func (f *Forwarder) run(ctx context.Context, q *request, target tiller.Address, limit int64) (*Answer, *tiller.CallError) {
-	answer, failed := f.Backends.do(ctx, exchange{
-		method: q.method, url: "http://" + string(target) + q.target, to: target, header: q.backendHeader(f.Clock.Now()), body: q.body, limit: limit,
+func (f *Forwarder) run(ctx context.Context, q *request, target Target, limit int64) (*Answer, *tiller.CallError) {
+	terms := tiller.NewBackendTerms(q.id, q.cause, q.deadline-f.Clock.Now(), q.chainLeft, target.instance, q.origin)
+	header := q.header.Clone()
+	f.Dialect.Instruct(header, terms)
+
+	x, failed := f.Backends.Do(ctx, exchanger.Request{
+		To: target.address, Method: q.method, Target: q.target, Host: q.host, Header: header,
+		Prefix: q.body.kept, Rest: q.takeRest(), Length: q.body.length,
+		Owns: func(h http.Header) bool { return f.Dialect.Owns(h, terms) },
 	})
 	if failed != nil {
-		return nil, f.failed(ctx, q, failed)
+		return nil, f.failed(ctx, q, target, failed)
 	}
 
-	if answer.status == http.StatusServiceUnavailable && parseVerdict(answer.header.Get(HeaderVerdict)) == tiller.VerdictNotRun {
-		shed := notRun(tiller.ReasonOverload, "the backend server sheds load")
+	answer, err := readAnswer(x, limit)
+	if err != nil {
+		return nil, err
+	}
+
+	return f.judge(q, answer)
+}
 
-		return nil, shed.WithRetryAfter(tiller.Second).WithRetries(retriesSpent(answer.header))
+// judge passes on what the backend server really answered.
+func (f *Forwarder) judge(q *request, answer *Answer) (*Answer, *tiller.CallError) {
+	switch f.Dialect.Judge(answer.status, answer.header) {
+	case tiller.AnswerNotRun:
+		retries := retriesSpent(answer.header)
+		answer.close()
+
+		return nil, notRun(tiller.ReasonOverload, "the backend server sheds load").WithRetryAfter(tiller.Second).WithRetries(retries)
+	case tiller.AnswerDamaged:
+		answer.close()
+
+		return nil, tiller.NewCallError(tiller.VerdictMayHaveRun, tiller.ReasonBackendFailed, "the answer is not what a backend server sends")
+	default:
 	}
 
 	f.Strikes.Lift(q.digest)
-	answer.header.Del(HeaderReason)
-	answer.header.Set(HeaderVerdict, tiller.VerdictRan.String())
-	answer.header.Set(HeaderWorker, string(f.Name))
+
+	answer.worker = f.Name
+	retries := retriesSpent(answer.header)
+	answer.header = endToEnd(answer.header)
+	setInt(answer.header, HeaderRetriesSpent, int64(retries))
 
 	return answer, nil
 }
 
 // failed tells the data centre of a request whose server died before the answer leaves.
-func (f *Forwarder) failed(ctx context.Context, q *request, failed *failure) *tiller.CallError {
-	if failed.refused {
+func (f *Forwarder) failed(ctx context.Context, q *request, target Target, failed *exchanger.ExchangeError) *tiller.CallError {
+	if failed.Refused() {
 		f.Worker.Refused()
 
 		return notRun(tiller.ReasonNoBackend, fmt.Sprintf("the backend server of %s refuses connections", f.Name))
 	}
 
-	if failed.broken {
+	err := callFailure(ctx, failed)
+	if failed.Broken() && ctx.Err() == nil && f.crashed(ctx, target) {
 		f.Strikes.Announce(context.WithoutCancel(ctx), []quarantiner.Digest{q.digest}, q.route)
 	}
 
-	return failed.err.WithStrikes(f.Register.Count(q.digest))
+	return err.WithStrikes(f.Register.Count(q.digest))
 }
 
-func (q *request) backendHeader(now tiller.Millis) http.Header {
-	h := q.header.Clone()
-	h.Set(HeaderCause, q.cause)
-	setInt(h, HeaderDeadline, int64(max(q.deadline-now, 0)))
-	setInt(h, HeaderRetriesLeft, int64(q.chainLeft))
+// crashed reports whether a broken connection means that the backend server died.
+func (f *Forwarder) crashed(ctx context.Context, target Target) bool {
+	if !f.ConfirmCrashes {
+		return true
+	}
+
+	if !f.Backends.Refuses(ctx, target.address) {
+		return false
+	}
+
+	f.Worker.Refused()
 
-	return h
+	return true
 }
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -11,12 +11,14 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
@@ -48,8 +50,8 @@
 	events   atomic.Int64
 }
 
-func (n *fakeNode) Target() (tiller.Address, wire.BackendState) {
-	return tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), n.state
+func (n *fakeNode) Target() forwarder.Target {
+	return forwarder.NewTarget(tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), "", n.state)
 }
 
 func (n *fakeNode) Refused() { n.refused.Add(1) }
@@ -131,7 +133,7 @@
 		Routes: []tiller.RouteSpec{
 			{Name: "browse", Method: "GET", PathPrefix: "/calls", Service: "board", Class: "interactive", Idempotent: true},
 			{Name: "change", Method: "PUT", PathPrefix: "/calls", Service: "board", Class: "interactive"},
-			{Name: "short", Method: "GET", PathPrefix: "/short", Service: "board", Class: "interactive", TimeoutMs: 150},
+			{Name: "short", Method: "GET", PathPrefix: "/short", Service: "board", Class: "interactive", TimeoutMs: new(int64(150))},
 			{Name: "submit", Method: "POST", PathPrefix: "/auditions", Service: "board", Class: "interactive", AtMostOnce: true},
 			{Name: "nobody", Method: "GET", PathPrefix: "/empty", Service: "empty", Class: "patient", Idempotent: true},
 		},
@@ -187,8 +189,9 @@
 	n.forward = forwarder.New(forwarder.Options{
 		Name: n.name, DataCentre: centre, Clock: clock, Table: &n.table, Balancer: balancer.New(centre, rand.New(rand.NewPCG(1, uint64(i)))),
 		Gate:   limiter.NewGate(limiter.New(limiter.Options{Slots: 32, QueueLength: 4, QueueTimeout: tiller.Second}), clock),
-		Budget: retrier.NewBudget(), Register: register, Claims: claims, Strikes: n, Worker: n, Hops: forwarder.NewDialer(0, nil),
-		Backends: forwarder.NewDialer(0, nil), Metrics: metrics.NewRegistry(),
+		Budget: retrier.NewBudget(), Register: register, Claims: claims, Strikes: n, Worker: n, Hops: exchanger.New(exchanger.Options{}),
+		Backends: exchanger.New(exchanger.Options{}), Service: "board", Dialect: forwarder.Dialect{},
+		Splitter: balancer.NewSplitter(rand.New(rand.NewPCG(1, 1))), Log: logr.Discard(), Metrics: metrics.NewRegistry(),
 		Recorder: tiller.RecorderFunc(func(events ...tiller.Event) { n.events.Add(int64(len(events))) }),
 	})
 	n.server = httptest.NewServer(n.forward)
--- a/calls/forwarder/header.go
+++ b/calls/forwarder/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 )
@@ -34,8 +35,14 @@
 
 	// HeaderAttempt names an attempt between nodes.
 	HeaderAttempt = "Tiller-Attempt"
-	// HeaderClass carries the class between nodes.
-	HeaderClass = "Tiller-Class"
+	// HeaderTo names the worker that an attempt is for between nodes.
+	HeaderTo = "Tiller-To"
+	// HeaderService names the service that an attempt is for between nodes.
+	HeaderService = "Tiller-Service"
+	// HeaderOrigin names the service on the VM where the call began between nodes.
+	HeaderOrigin = "Tiller-Origin"
+	// HeaderPriority carries the rank of a call between nodes.
+	HeaderPriority = "Tiller-Priority"
 	// HeaderRoute names the route between nodes.
 	HeaderRoute = "Tiller-Route"
 	// HeaderStrikes carries the known crashes of a request between nodes, both ways.
@@ -50,14 +57,31 @@
 	HeaderLength = "Tiller-Length"
 )
 
-var hopOnly = []string{
-	HeaderAttempt, HeaderClass, HeaderRoute, HeaderAtMostOnce, HeaderLoad, HeaderLimit, HeaderLength, HeaderStrikes,
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
-func stripHop(h http.Header) http.Header {
-	out := h.Clone()
-	for _, name := range hopOnly {
+const ownPrefix = "Tiller-"
+
+// endToEnd returns the headers that travel from caller to backend server or back: neither those of one connection nor those
+// that nodes use among themselves.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+
+	for name, values := range h {
+		if !strings.HasPrefix(name, ownPrefix) {
+			out[name] = values
+		}
+	}
+
+	for _, listed := range h["Connection"] {
+		for name := range strings.SplitSeq(listed, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+
+	for _, name := range connectionHeaders {
 		out.Del(name)
 	}
 
--- /dev/null
+++ b/calls/forwarder/log.go
@@ -0,0 +1,46 @@
+package forwarder
+
+import (
+	"github.com/go-logr/logr"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+)
+
+// callLog writes the decisions on calls.
+type callLog struct {
+	log   logr.Logger
+	clock tiller.Clock
+}
+
+// detailLevel is the level of lines about calls that went well.
+const detailLevel = 1
+
+func (l callLog) served(c *call, a *Answer) {
+	if v := l.log.V(detailLevel); v.Enabled() {
+		v.Info("call served", append(l.describe(c), "worker", string(a.worker), "status", a.status)...)
+	}
+}
+
+func (l callLog) refused(c *call, err *tiller.CallError) {
+	l.log.Info("call refused", append(l.describe(c),
+		"verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail(), "retry_after_ms", int64(err.RetryAfter()))...)
+}
+
+func (l callLog) retried(c *call, at tiller.Backend, err *tiller.CallError) {
+	l.log.Info("call retried", append(l.describe(c),
+		"worker", string(at.Worker()), "verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail())...)
+}
+
+// describe returns what every line about a call says; a call that could not be read has nothing to say.
+func (l callLog) describe(c *call) []any {
+	if c == nil {
+		return nil
+	}
+
+	q := c.request
+
+	return []any{
+		"id", q.id, "cause", q.cause, "route", q.route, "service", string(q.service), "version", c.table.Version().String(),
+		"time_left_ms", int64(q.deadline - l.clock.Now()),
+	}
+}
--- a/calls/forwarder/table.go
+++ b/calls/forwarder/table.go
@@ -11,7 +11,7 @@
 // replaces it.
 type Table struct {
 	version    tiller.Version
-	document   tiller.Document
+	matcher    compiler.Matcher
 	candidates map[tiller.Service][]balancer.Candidate
 	settings   map[tiller.Service]compiler.Effective
 	own        compiler.Effective
@@ -21,7 +21,7 @@
 // that some node has announced get candidates.
 func NewTable(version tiller.Version, d tiller.Document, place tiller.Place, entries []*wire.NodeEntry) *Table {
 	t := &Table{
-		version: version, document: d, candidates: map[tiller.Service][]balancer.Candidate{},
+		version: version, matcher: compiler.NewMatcher(d), candidates: map[tiller.Service][]balancer.Candidate{},
 		settings: map[tiller.Service]compiler.Effective{}, own: compiler.Compile(d, place),
 	}
 
@@ -54,6 +54,9 @@
 // Version returns the version in force.
 func (t *Table) Version() tiller.Version { return t.version }
 
+// RouteNames returns the names of the routes in force.
+func (t *Table) RouteNames() tiller.Set[string] { return t.matcher.Names() }
+
 // Candidates returns the known ready workers of a service.
 func (t *Table) Candidates(s tiller.Service) []balancer.Candidate { return t.candidates[s] }
 
@@ -63,9 +66,9 @@
 // Own returns the settings for this node's worker.
 func (t *Table) Own() compiler.Effective { return t.own }
 
-// Match returns the route of a call.
-func (t *Table) Match(method, path string) (tiller.Route, bool) {
-	return compiler.Match(t.document, method, path)
+// Match returns the route of a call; the path is taken as it was sent.
+func (t *Table) Match(host, method, path string) (tiller.Route, bool) {
+	return t.matcher.Match(host, method, path)
 }
 
 func policyOf(e compiler.Effective) balancer.Policy {
--- a/calls/limiter/gate.go
+++ b/calls/limiter/gate.go
@@ -26,11 +26,11 @@
 }
 
 // Acquire waits for a slot until the context ends; a refusal is not run.
-func (g *Gate) Acquire(ctx context.Context, class tiller.Class, deadline tiller.Millis) (*Slot, *tiller.CallError) {
+func (g *Gate) Acquire(ctx context.Context, priority int, deadline tiller.Millis) (*Slot, *tiller.CallError) {
 	granted := make(chan *tiller.CallError, 1)
 
 	g.mu.Lock()
-	ticket := g.core.Acquire(g.clock.Now(), class, deadline, func(err *tiller.CallError) { granted <- err })
+	ticket := g.core.Acquire(g.clock.Now(), priority, deadline, func(err *tiller.CallError) { granted <- err })
 	g.mu.Unlock()
 
 	select {
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -1,5 +1,5 @@
 // Package limiter decides which requests may run on one backend server: it holds the server's slots, adapts when the
-// stated slots mislead, and keeps a bounded queue by class and deadline.
+// stated slots mislead, and keeps a bounded queue by priority and deadline.
 package limiter
 
 import (
@@ -16,7 +16,7 @@
 
 // Ticket is a request that holds or awaits a slot.
 type Ticket struct {
-	class    tiller.Class
+	priority int
 	deadline tiller.Millis
 	queued   tiller.Millis
 	started  tiller.Millis
@@ -59,15 +59,15 @@
 }
 
 // Acquire asks for a slot. The grant function is called once, now or later, with nil or with a refusal that is not run.
-func (c *Core) Acquire(now tiller.Millis, class tiller.Class, deadline tiller.Millis, grant func(*tiller.CallError)) *Ticket {
-	t := &Ticket{class: class, deadline: min(deadline, now+maxDeadline), queued: now, grant: grant}
+func (c *Core) Acquire(now tiller.Millis, priority int, deadline tiller.Millis, grant func(*tiller.CallError)) *Ticket {
+	t := &Ticket{priority: priority, deadline: min(deadline, now+maxDeadline), queued: now, grant: grant}
 
 	switch {
 	case c.options.Slots == 0:
 		grant(refusal(tiller.ReasonNoBackend, "the worker has no slots"))
-	case c.inFlight < c.limit && !c.awaitsBefore(class):
+	case c.inFlight < c.limit && !c.awaitsBefore(priority):
 		c.start(now, t)
-	case now+c.expectedWait(class)+c.serviceTime > t.deadline:
+	case now+c.expectedWait(priority)+c.serviceTime > t.deadline:
 		c.refuse(t, tiller.ReasonOverload, "the queue is too long for the deadline")
 	default:
 		c.enqueue(t)
@@ -85,7 +85,7 @@
 func (c *Core) refuse(t *Ticket, reason tiller.Reason, detail string) {
 	c.shed++
 
-	t.grant(refusal(reason, detail).WithRetryAfter(c.serviceTime + c.expectedWait(t.class)))
+	t.grant(refusal(reason, detail).WithRetryAfter(c.serviceTime + c.expectedWait(t.priority)))
 }
 
 func (c *Core) start(now tiller.Millis, t *Ticket) {
@@ -94,16 +94,16 @@
 	t.grant(nil)
 }
 
-func (c *Core) awaitsBefore(class tiller.Class) bool {
-	return len(c.queue) > 0 && c.queue[0].class <= class
+func (c *Core) awaitsBefore(priority int) bool {
+	return len(c.queue) > 0 && c.queue[0].priority <= priority
 }
 
-// expectedWait estimates the time until a request of the class would get a slot.
-func (c *Core) expectedWait(class tiller.Class) tiller.Millis {
+// expectedWait estimates the time until a request of the priority would get a slot.
+func (c *Core) expectedWait(priority int) tiller.Millis {
 	ahead := 0
 
 	for _, t := range c.queue {
-		if t.class <= class {
+		if t.priority <= priority {
 			ahead++
 		}
 	}
@@ -111,9 +111,9 @@
 	return c.serviceTime * tiller.Millis(ahead) / tiller.Millis(max(c.limit, minLimit))
 }
 
-// enqueue inserts by class; a full queue drops the newest request of the lowest class.
+// enqueue inserts by priority; a full queue drops the newest request of the last priority.
 func (c *Core) enqueue(t *Ticket) {
-	i := slices.IndexFunc(c.queue, func(o *Ticket) bool { return o.class > t.class })
+	i := slices.IndexFunc(c.queue, func(o *Ticket) bool { return o.priority > t.priority })
 	if i < 0 {
 		i = len(c.queue)
 	}
--- a/calls/limiter/limiter_test.go
+++ b/calls/limiter/limiter_test.go
@@ -35,7 +35,7 @@
 
 	started := false
 
-	ticket = b.core.Acquire(b.now, class, b.now+deadline, func(err *tiller.CallError) {
+	ticket = b.core.Acquire(b.now, int(class), b.now+deadline, func(err *tiller.CallError) {
 		if err != nil {
 			b.refused[err.Reason()]++
 
@@ -182,13 +182,13 @@
 	clock := tiller.ClockFunc(func() tiller.Millis { return 1000 })
 	g := limiter.NewGate(limiter.New(limiter.Options{Slots: 1, QueueLength: 5, QueueTimeout: 1000}), clock)
 
-	slot, err := g.Acquire(context.Background(), tiller.ClassInteractive, 2000)
+	slot, err := g.Acquire(context.Background(), int(tiller.ClassInteractive), 2000)
 	require.Nil(t, err)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 
-	_, err = g.Acquire(ctx, tiller.ClassInteractive, 2000)
+	_, err = g.Acquire(ctx, int(tiller.ClassInteractive), 2000)
 	require.Equal(t, tiller.VerdictNotRun, err.Verdict())
 
 	slot.Release(limiter.OutcomeServed)
--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,10 @@
 package sycamoretiller
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Millis is a point in time or a span of time in milliseconds.
 type Millis int64
@@ -40,6 +44,32 @@
 	})
 }
 
+// BootClock returns a clock that starts at the wall clock's time, never jumps and goes on while the VM is suspended.
+func BootClock() Clock {
+	origin, ok := sinceBoot()
+	if !ok {
+		return SteadyClock()
+	}
+
+	wall := time.Now().UnixMilli()
+
+	return ClockFunc(func() Millis {
+		now, _ := sinceBoot()
+
+		return Millis(wall + now - origin)
+	})
+}
+
+// sinceBoot returns the milliseconds since the VM started, and whether the operating system tells.
+func sinceBoot() (int64, bool) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, false
+	}
+
+	return t.Nano() / int64(time.Millisecond), true
+}
+
 // SteadyClock returns a clock that starts at the wall clock's time and never jumps.
 func SteadyClock() Clock {
 	start := time.Now()
--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/urfave/cli/v3"
 
+	"gitlab.com/sycamoretiller/sycamoretiller/platform"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/controlserver"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
@@ -27,6 +28,16 @@
 				Flags: []cli.Flag{settings}, Action: bootstrap,
 			},
 			{Name: "run", Usage: "run until SIGTERM; an empty data folder joins the peers", Flags: []cli.Flag{settings}, Action: run},
+			{
+				Name: "platform", Usage: "run on the users' platform, by the settings file that it provides", Action: runOnPlatform,
+				Flags: []cli.Flag{
+					&cli.StringFlag{
+						Name: "settings", Usage: "the platform's settings `FILE`", Required: true, Sources: cli.EnvVars(platform.SettingsVariable),
+					},
+					&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` that shows metrics, none if zero"},
+					&cli.BoolFlag{Name: "verbose", Usage: "log served calls and lost messages too"},
+				},
+			},
 			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settings}, Action: check},
 		},
 	}
@@ -41,6 +52,15 @@
 	return s, nil
 }
 
+func runOnPlatform(ctx context.Context, c *cli.Command) error {
+	log, err := launcher.NewLog(c.Bool("verbose"))
+	if err != nil {
+		return err
+	}
+
+	return platform.RunController(ctx, c.String("settings"), c.Int("metrics-port"), log)
+}
+
 func check(_ context.Context, c *cli.Command) error {
 	s, err := read(c)
 	if err != nil {
--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/urfave/cli/v3"
 
+	"gitlab.com/sycamoretiller/sycamoretiller/platform"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/nodeserver"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
@@ -23,11 +24,30 @@
 		Usage: "carry calls for the worker on this VM and hold the configuration in force",
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "run until SIGTERM, then drain and leave", Flags: []cli.Flag{settings}, Action: run},
+			{
+				Name: "platform", Usage: "run on the users' platform, by the settings file that it provides", Action: runOnPlatform,
+				Flags: []cli.Flag{
+					&cli.StringFlag{
+						Name: "settings", Usage: "the platform's settings `FILE`", Required: true, Sources: cli.EnvVars(platform.SettingsVariable),
+					},
+					&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` that shows metrics, none if zero"},
+					&cli.BoolFlag{Name: "verbose", Usage: "log served calls and lost messages too"},
+				},
+			},
 			{Name: "check", Usage: "check a settings file", Flags: []cli.Flag{settings}, Action: check},
 		},
 	}
 }
 
+func runOnPlatform(ctx context.Context, c *cli.Command) error {
+	log, err := launcher.NewLog(c.Bool("verbose"))
+	if err != nil {
+		return err
+	}
+
+	return platform.RunNode(ctx, c.String("settings"), c.Int("metrics-port"), log)
+}
+
 func check(_ context.Context, c *cli.Command) error {
 	s, err := nodeserver.ReadSettings(c.String("settings"))
 	if err != nil {
--- a/distribution/holder/holder_test.go
+++ b/distribution/holder/holder_test.go
@@ -30,7 +30,7 @@
 	spec := tiller.DocumentSpec{Services: []tiller.ServiceSpec{{Name: "board"}}}
 	for i, ms := range timeouts {
 		spec.Routes = append(spec.Routes, tiller.RouteSpec{
-			Name: fmt.Sprintf("r%d", i), Method: "GET", PathPrefix: fmt.Sprintf("/r%d", i), Service: "board", Class: "patient", TimeoutMs: int64(ms),
+			Name: fmt.Sprintf("r%d", i), Method: "GET", PathPrefix: fmt.Sprintf("/r%d", i), Service: "board", Class: "patient", TimeoutMs: new(int64(ms + 1)),
 		})
 	}
 
--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
@@ -38,6 +39,7 @@
 
 	if slices.Contains(c.controllers, from) {
 		c.hearController(from, o)
+		c.learnControllers(o.GetControllers())
 	}
 
 	version := tiller.VersionOf(o.GetVersion())
@@ -53,6 +55,27 @@
 	c.consider(from, version)
 }
 
+// learnControllers follows controllers to new addresses. The configured ones stay known, since they may be back when those
+// that were learnt are gone.
+func (c *Core) learnControllers(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+
+	next := slices.Clone(addresses)
+	for _, a := range c.configured {
+		if !slices.Contains(next, a) {
+			next = append(next, a)
+		}
+	}
+
+	if !slices.Equal(next, c.controllers) {
+		c.emit(tiller.EventMemberChanged, "controllers are "+strings.Join(next, ", "))
+	}
+
+	c.controllers = next
+}
+
 func (c *Core) hearController(from string, o *wire.Offer) {
 	c.failures = 0
 
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
@@ -90,11 +91,13 @@
 	address     tiller.Address
 	dataCentre  tiller.DataCentre
 	controllers []string
-	random      *rand.Rand
-	clock       tiller.Ratchet
-	now         tiller.Millis
-	view        View
-	claimEpoch  uint64
+	// configured are the controllers that the settings name.
+	configured []string
+	random     *rand.Rand
+	clock      tiller.Ratchet
+	now        tiller.Millis
+	view       View
+	claimEpoch uint64
 
 	holder      *holder.Holder
 	placements  *wire.ClaimPlacements
@@ -130,12 +133,24 @@
 		placements: &wire.ClaimPlacements{}, reports: map[string]reported{},
 	}
 	for _, a := range controllers {
-		c.controllers = append(c.controllers, string(a))
+		c.configured = append(c.configured, string(a))
 	}
 
+	c.controllers = slices.Clone(c.configured)
+
 	return c
 }
 
+// SetControllers replaces the controllers that the settings name; those that were learnt stay known.
+func (c *Core) SetControllers(addresses []tiller.Address) {
+	c.configured = c.configured[:0:0]
+	for _, a := range addresses {
+		c.configured = append(c.configured, string(a))
+	}
+
+	c.learnControllers(c.controllers)
+}
+
 // Step advances the core by one event.
 func (c *Core) Step(reading tiller.Millis, event Event) Effects {
 	c.now = c.clock.Advance(reading)
--- a/document.go
+++ b/document.go
@@ -4,6 +4,8 @@
 
 // DocumentSpec is the operators' document as it is written down.
 type DocumentSpec struct {
+	// Revision is the operators' own number of the document, zero if they keep none.
+	Revision   uint64           `json:"revision,omitempty" yaml:"revision,omitempty"`
 	Defaults   map[string]int64 `json:"defaults"   yaml:"defaults"`
 	Services   []ServiceSpec    `json:"services"   yaml:"services"`
 	Routes     []RouteSpec      `json:"routes"     yaml:"routes"`
@@ -14,19 +16,42 @@
 type ServiceSpec struct {
 	Name        string `json:"name"                  yaml:"name"`
 	Description string `json:"description,omitempty" yaml:"description,omitempty"`
+	// HealthPath is where a backend server tells whether it is healthy.
+	HealthPath string `json:"health_path,omitempty" yaml:"health_path,omitempty"`
+	// MaxConnections bounds the connections to one backend server, zero for no bound.
+	MaxConnections int64 `json:"max_connections,omitempty" yaml:"max_connections,omitempty"`
+	// Annotations are kept for operators and have no effect.
+	Annotations map[string]string `json:"annotations,omitempty" yaml:"annotations,omitempty"`
 }
 
-// RouteSpec sends calls of one method and path prefix to a service.
+// TargetSpec gives a service a share of a route's calls.
+type TargetSpec struct {
+	Service string `json:"service" yaml:"service"`
+	Weight  int64  `json:"weight"  yaml:"weight"`
+}
+
+// RouteSpec sends calls of one host, method and path prefix to a service; an empty host or method matches all.
 type RouteSpec struct {
 	Name       string `json:"name"                  yaml:"name"`
-	Method     string `json:"method"                yaml:"method"`
+	Host       string `json:"host,omitempty"        yaml:"host,omitempty"`
+	Method     string `json:"method,omitempty"      yaml:"method,omitempty"`
 	PathPrefix string `json:"path_prefix"           yaml:"path_prefix"`
-	Service    string `json:"service"               yaml:"service"`
-	Class      string `json:"class"                 yaml:"class"`
+	Service    string `json:"service,omitempty"     yaml:"service,omitempty"`
+	// Targets share the calls by weight; they take the place of the service.
+	Targets []TargetSpec `json:"targets,omitempty"  yaml:"targets,omitempty"`
+	Class   string       `json:"class,omitempty"    yaml:"class,omitempty"`
+	// Priority ranks calls under load, lowest first; it takes the place of the class.
+	Priority   *int64 `json:"priority,omitempty"    yaml:"priority,omitempty"`
 	Idempotent bool   `json:"idempotent,omitempty"  yaml:"idempotent,omitempty"`
 	AtMostOnce bool   `json:"at_most_once,omitempty" yaml:"at_most_once,omitempty"`
 	Internal   bool   `json:"internal,omitempty"    yaml:"internal,omitempty"`
-	TimeoutMs  int64  `json:"timeout_ms,omitempty"  yaml:"timeout_ms,omitempty"`
+	TimeoutMs  *int64 `json:"timeout_ms,omitempty"  yaml:"timeout_ms,omitempty"`
+	// TargetLatencyMs is the time within which an answer has its full worth, zero if unknown.
+	TargetLatencyMs int64 `json:"target_latency_ms,omitempty" yaml:"target_latency_ms,omitempty"`
+	// MaxAttempts bounds the workers that one call is sent to, zero for the setting attempts.
+	MaxAttempts int64 `json:"max_attempts,omitempty" yaml:"max_attempts,omitempty"`
+	// Annotations are kept for operators and have no effect.
+	Annotations map[string]string `json:"annotations,omitempty" yaml:"annotations,omitempty"`
 }
 
 // ScopeSpec limits an exception; an empty part matches everything.
@@ -47,17 +72,33 @@
 
 // Document is a configuration that has passed validation.
 type Document struct {
-	defaults   map[Setting]int64
-	services   []Service
-	routes     []Route
-	exceptions []Exception
+	revision    uint64
+	defaults    map[Setting]int64
+	services    []Service
+	connections map[Service]int
+	routes      []Route
+	exceptions  []Exception
 }
 
 // NewDocument assembles a document from validated parts.
-func NewDocument(defaults map[Setting]int64, services []Service, routes []Route, exceptions []Exception) Document {
-	return Document{defaults: maps.Clone(defaults), services: services, routes: routes, exceptions: exceptions}
+func NewDocument(spec DocumentSpec, defaults map[Setting]int64, routes []Route, exceptions []Exception) Document {
+	d := Document{
+		revision: spec.Revision, defaults: maps.Clone(defaults), connections: map[Service]int{}, routes: routes, exceptions: exceptions,
+	}
+	for _, s := range spec.Services {
+		d.services = append(d.services, Service(s.Name))
+		d.connections[Service(s.Name)] = int(s.MaxConnections)
+	}
+
+	return d
 }
 
+// Revision returns the operators' own number of the document, zero if they keep none.
+func (d Document) Revision() uint64 { return d.revision }
+
+// MaxConnections returns how many connections one backend server of a service takes, zero for no bound.
+func (d Document) MaxConnections(s Service) int { return d.connections[s] }
+
 // Default returns the fleet's value of a setting and whether the document states it.
 func (d Document) Default(s Setting) (int64, bool) {
 	v, ok := d.defaults[s]
@@ -92,8 +133,37 @@
 // PathPrefix returns the path prefix that calls must have.
 func (r Route) PathPrefix() string { return r.spec.PathPrefix }
 
-// Service returns the service that answers.
-func (r Route) Service() Service { return Service(r.spec.Service) }
+// Host returns the host that calls must name, empty for all.
+func (r Route) Host() string { return r.spec.Host }
+
+// Targets returns the services that share the calls, with their weights.
+func (r Route) Targets() []Target {
+	if len(r.spec.Targets) == 0 {
+		return []Target{{service: Service(r.spec.Service), weight: 1}}
+	}
+
+	out := make([]Target, 0, len(r.spec.Targets))
+	for _, t := range r.spec.Targets {
+		out = append(out, Target{service: Service(t.Service), weight: t.Weight})
+	}
+
+	return out
+}
+
+// Priority ranks calls under load; lower values are served first.
+func (r Route) Priority() int {
+	if r.spec.Priority != nil {
+		return int(*r.spec.Priority)
+	}
+
+	return int(r.class)
+}
+
+// TargetLatency returns the time within which an answer has its full worth, zero if unknown.
+func (r Route) TargetLatency() Millis { return Millis(r.spec.TargetLatencyMs) }
+
+// MaxAttempts returns the most workers that one call may be sent to, zero if the route states none.
+func (r Route) MaxAttempts() int { return int(r.spec.MaxAttempts) }
 
 // Class returns the class under load.
 func (r Route) Class() Class { return r.class }
@@ -108,7 +178,28 @@
 func (r Route) Internal() bool { return r.spec.Internal }
 
 // Timeout returns the route's own time limit, zero if it has none.
-func (r Route) Timeout() Millis { return Millis(r.spec.TimeoutMs) }
+func (r Route) Timeout() Millis {
+	if r.spec.TimeoutMs == nil {
+		return 0
+	}
+
+	return Millis(*r.spec.TimeoutMs)
+}
+
+// Target is a service with its share of a route's calls.
+type Target struct {
+	service Service
+	weight  int64
+}
+
+// NewTarget returns a target.
+func NewTarget(service Service, weight int64) Target { return Target{service: service, weight: weight} }
+
+// Service returns the service that answers.
+func (t Target) Service() Service { return t.service }
+
+// Weight returns the share relative to the other targets of the route.
+func (t Target) Weight() int64 { return t.weight }
 
 // Exception is a validated exception.
 type Exception struct {
--- a/document/compiler/compiler.go
+++ b/document/compiler/compiler.go
@@ -2,6 +2,7 @@
 package compiler
 
 import (
+	"net"
 	"strings"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -120,10 +121,48 @@
 	return value
 }
 
-// Match returns the route of a call, the longest path prefix first.
-func Match(d tiller.Document, method, path string) (tiller.Route, bool) {
+// Matcher finds the routes of calls.
+type Matcher struct {
+	byHost map[string][]tiller.Route
+}
+
+// NewMatcher orders the routes of a document by host; the longest path prefix comes first.
+func NewMatcher(d tiller.Document) Matcher {
+	m := Matcher{byHost: map[string][]tiller.Route{}}
 	for _, r := range d.Routes() {
-		if r.Method() == method && hasPathPrefix(path, r.PathPrefix()) {
+		host := strings.ToLower(r.Host())
+		m.byHost[host] = append(m.byHost[host], r)
+	}
+
+	return m
+}
+
+// Names returns the names of the routes.
+func (m Matcher) Names() tiller.Set[string] {
+	names := tiller.NewSet[string]()
+
+	for _, routes := range m.byHost {
+		for _, r := range routes {
+			names.Add(r.Name())
+		}
+	}
+
+	return names
+}
+
+// Match returns the route of a call: among those of its host first, then among those of all hosts. The path is compared
+// as it was sent, without decoding.
+func (m Matcher) Match(host, method, path string) (tiller.Route, bool) {
+	if route, ok := match(m.byHost[hostName(host)], method, path); ok {
+		return route, true
+	}
+
+	return match(m.byHost[""], method, path)
+}
+
+func match(routes []tiller.Route, method, path string) (tiller.Route, bool) {
+	for _, r := range routes {
+		if (r.Method() == "" || r.Method() == method) && hasPathPrefix(path, r.PathPrefix()) {
 			return r, true
 		}
 	}
@@ -131,6 +170,15 @@
 	return tiller.Route{}, false
 }
 
+// hostName drops the port of a host header.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+
+	return strings.ToLower(host)
+}
+
 func hasPathPrefix(path, prefix string) bool {
 	if !strings.HasPrefix(path, prefix) {
 		return false
--- a/document/encoder/encoder.go
+++ b/document/encoder/encoder.go
@@ -25,6 +25,7 @@
 	servicePrefix   = "service/"
 	routePrefix     = "route/"
 	exceptionPrefix = "exception/"
+	revisionPath    = "revision"
 )
 
 // HashBytes is the length of a content hash.
@@ -43,6 +44,10 @@
 		items = append(items, &wire.Item{Path: path, Value: value})
 	}
 
+	if spec.Revision > 0 {
+		add(revisionPath, spec.Revision)
+	}
+
 	for name, value := range spec.Defaults {
 		add(defaultPrefix+name, value)
 	}
@@ -81,6 +86,8 @@
 	path := item.GetPath()
 
 	switch {
+	case path == revisionPath:
+		return unmarshal(item.GetValue(), &spec.Revision)
 	case strings.HasPrefix(path, defaultPrefix):
 		var v int64
 		if err := unmarshal(item.GetValue(), &v); err != nil {
@@ -131,6 +138,21 @@
 	return nil
 }
 
+// Revision returns the operators' own number among the items, zero if they keep none.
+func Revision(items []*wire.Item) uint64 {
+	i, ok := slices.BinarySearchFunc(items, revisionPath, func(item *wire.Item, path string) int { return cmp.Compare(item.GetPath(), path) })
+	if !ok {
+		return 0
+	}
+
+	var revision uint64
+	if unmarshal(items[i].GetValue(), &revision) != nil {
+		return 0
+	}
+
+	return revision
+}
+
 // Sort orders items by path.
 func Sort(items []*wire.Item) {
 	slices.SortFunc(items, func(a, b *wire.Item) int { return cmp.Compare(a.GetPath(), b.GetPath()) })
--- a/document/validator/validator.go
+++ b/document/validator/validator.go
@@ -18,10 +18,14 @@
 const (
 	MaxExceptions  = 64
 	MaxServices    = 512
-	MaxRoutes      = 2048
+	MaxRoutes      = 16_384
 	MinReasonRunes = 8
 	MaxReasonRunes = 500
-	maxTimeoutMs   = 600_000
+	maxTimeoutMs   = 3_600_000
+	maxLatencyLead = 60_000
+	maxPriority    = 1000
+	maxAttempts    = 100
+	maxWeight      = 1_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -53,7 +57,7 @@
 func Validate(spec tiller.DocumentSpec) (tiller.Document, []Fault) {
 	v := &validation{services: tiller.NewSet[string]()}
 	defaults := v.defaults(spec.Defaults)
-	services := v.declared(spec.Services)
+	v.declared(spec.Services)
 	routes := v.routes(spec.Routes)
 	exceptions := v.exceptions(spec.Exceptions)
 
@@ -61,7 +65,7 @@
 		return tiller.Document{}, v.faults
 	}
 
-	return tiller.NewDocument(defaults, services, routes, exceptions), nil
+	return tiller.NewDocument(spec, defaults, routes, exceptions), nil
 }
 
 func (v *validation) defaults(specs map[string]int64) map[tiller.Setting]int64 {
@@ -94,7 +98,7 @@
 	return s, true
 }
 
-func (v *validation) declared(specs []tiller.ServiceSpec) []tiller.Service {
+func (v *validation) declared(specs []tiller.ServiceSpec) {
 	if len(specs) == 0 {
 		v.fault("services", "at least one service is needed")
 	}
@@ -103,8 +107,6 @@
 		v.fault("services", "%d services; at most %d are allowed", len(specs), MaxServices)
 	}
 
-	out := make([]tiller.Service, 0, len(specs))
-
 	for i, s := range specs {
 		path := fmt.Sprintf("services[%d]", i)
 		v.name(path+".name", s.Name)
@@ -113,10 +115,10 @@
 			v.fault(path+".name", "service %q is declared twice", s.Name)
 		}
 
-		out = append(out, tiller.Service(s.Name))
+		if s.MaxConnections < 0 {
+			v.fault(path+".max_connections", "%d connections; zero or more are allowed", s.MaxConnections)
+		}
 	}
-
-	return out
 }
 
 func (v *validation) name(path, name string) {
@@ -140,8 +142,8 @@
 			v.fault(path+".name", "route %q is declared twice", s.Name)
 		}
 
-		if !matches.Add(s.Method + " " + s.PathPrefix) {
-			v.fault(path, "another route takes %s %s", s.Method, s.PathPrefix)
+		if !matches.Add(s.Host + " " + s.Method + " " + s.PathPrefix) {
+			v.fault(path, "another route takes %s", strings.TrimSpace(s.Method+" "+s.Host+s.PathPrefix))
 		}
 
 		out = append(out, v.route(path, s))
@@ -157,7 +159,7 @@
 func (v *validation) route(path string, s tiller.RouteSpec) tiller.Route {
 	v.name(path+".name", s.Name)
 
-	if !methods.Has(s.Method) {
+	if s.Method != "" && !methods.Has(s.Method) {
 		v.fault(path+".method", "method %q; allowed are %s", s.Method, strings.Join(methods.Sorted(), ", "))
 	}
 
@@ -165,8 +167,70 @@
 		v.fault(path+".path_prefix", "path prefix %q must start with '/'", s.PathPrefix)
 	}
 
-	if !v.services.Has(s.Service) {
-		v.fault(path+".service", "service %q is not declared under services", s.Service)
+	v.targets(path, s)
+	class := v.rank(path, s)
+
+	if s.Idempotent && s.AtMostOnce {
+		v.fault(path, "idempotent and at_most_once exclude each other")
+	}
+
+	v.times(path, s)
+
+	if s.MaxAttempts < 0 || s.MaxAttempts > maxAttempts {
+		v.fault(path+".max_attempts", "%d attempts; allowed are 0 to %d", s.MaxAttempts, maxAttempts)
+	}
+
+	return tiller.NewRoute(s, class)
+}
+
+// targets checks that a route names either one service or weighted ones.
+func (v *validation) targets(path string, s tiller.RouteSpec) {
+	if len(s.Targets) == 0 {
+		v.declaredService(path+".service", s.Service)
+
+		return
+	}
+
+	if s.Service != "" {
+		v.fault(path, "service and targets exclude each other")
+	}
+
+	sum := int64(0)
+
+	for i, t := range s.Targets {
+		target := fmt.Sprintf("%s.targets[%d]", path, i)
+		v.declaredService(target+".service", t.Service)
+
+		if t.Weight < 0 || t.Weight > maxWeight {
+			v.fault(target+".weight", "weight is %d; allowed are 0 to %d", t.Weight, maxWeight)
+		}
+
+		sum += t.Weight
+	}
+
+	if sum <= 0 {
+		v.fault(path+".targets", "the weights add up to 0")
+	}
+}
+
+func (v *validation) declaredService(path, name string) {
+	if !v.services.Has(name) {
+		v.fault(path, "service %q is not declared under services", name)
+	}
+}
+
+// rank checks that a route states either a class or a priority.
+func (v *validation) rank(path string, s tiller.RouteSpec) tiller.Class {
+	if s.Priority != nil {
+		if *s.Priority < 0 || *s.Priority > maxPriority {
+			v.fault(path+".priority", "priority is %d; allowed are 0 to %d", *s.Priority, maxPriority)
+		}
+
+		if s.Class != "" {
+			v.fault(path, "class and priority exclude each other")
+		}
+
+		return tiller.ClassInteractive
 	}
 
 	class, err := tiller.ClassString(s.Class)
@@ -174,15 +238,21 @@
 		v.fault(path+".class", "class %q; allowed are %s", s.Class, strings.Join(tiller.ClassStrings(), ", "))
 	}
 
-	if s.Idempotent && s.AtMostOnce {
-		v.fault(path, "idempotent and at_most_once exclude each other")
+	return class
+}
+
+func (v *validation) times(path string, s tiller.RouteSpec) {
+	if s.TimeoutMs != nil && (*s.TimeoutMs < 1 || *s.TimeoutMs > maxTimeoutMs) {
+		v.fault(path+".timeout_ms", "timeout is %d ms; allowed are 1 to %d", *s.TimeoutMs, maxTimeoutMs)
 	}
 
-	if s.TimeoutMs < 0 || s.TimeoutMs > maxTimeoutMs {
-		v.fault(path+".timeout_ms", "timeout is %d ms; allowed are 0 to %d", s.TimeoutMs, maxTimeoutMs)
+	if s.TargetLatencyMs < 0 || s.TargetLatencyMs > maxTimeoutMs {
+		v.fault(path+".target_latency_ms", "target latency is %d ms; allowed are 0 to %d", s.TargetLatencyMs, maxTimeoutMs)
 	}
 
-	return tiller.NewRoute(s, class)
+	if s.TimeoutMs != nil && s.TargetLatencyMs >= *s.TimeoutMs+maxLatencyLead {
+		v.fault(path+".target_latency_ms", "target latency %d ms is a minute or more above the timeout of %d ms", s.TargetLatencyMs, *s.TimeoutMs)
+	}
 }
 
 func (v *validation) exceptions(specs []tiller.ExceptionSpec) []tiller.Exception {
--- a/document/validator/validator_test.go
+++ b/document/validator/validator_test.go
@@ -44,7 +44,7 @@
 		{"routes[0]", func(s *tiller.DocumentSpec) { s.Routes[0].AtMostOnce = true }},
 		{"routes[1]", func(s *tiller.DocumentSpec) { s.Routes[1].PathPrefix = "/a" }},
 		{"routes[1].name", func(s *tiller.DocumentSpec) { s.Routes[1].Name = "read" }},
-		{"routes[1].timeout_ms", func(s *tiller.DocumentSpec) { s.Routes[1].TimeoutMs = -1 }},
+		{"routes[1].timeout_ms", func(s *tiller.DocumentSpec) { s.Routes[1].TimeoutMs = new(int64(-1)) }},
 		{"exceptions[0].reason", func(s *tiller.DocumentSpec) { s.Exceptions[0].Reason = " \t " }},
 		{"exceptions[0].reason", func(s *tiller.DocumentSpec) { s.Exceptions[0].Reason = "because" }},
 		{"exceptions[0].scope", func(s *tiller.DocumentSpec) { s.Exceptions[0].Scope = tiller.ScopeSpec{} }},
@@ -104,7 +104,7 @@
 		require.Equal(t, "built-in default", e.Source(tiller.SettingAttempts).String())
 	}
 
-	route, ok := compiler.Match(d, "GET", "/a/b/c")
+	route, ok := compiler.NewMatcher(d).Match("any.example", "GET", "/a/b/c")
 	require.True(t, ok)
 	require.Equal(t, "deep", route.Name(), "the longest prefix wins")
 }
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -89,7 +89,7 @@
 		data, err := arbiter.New(1).Encode()
 		require.NoError(f.t, err)
 
-		s.disk.Snapshot = replicator.Bootstrap("cluster", f.controllerMember(s), data)
+		s.disk.Snapshot = replicator.Bootstrap("cluster", data, f.controllerMember(s))
 		s.disk.HardState = &wire.HardState{Term: 1}
 	}
 
--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -56,6 +56,11 @@
 // Announce changes what the node tells of its backend server.
 type Announce struct{ Backend Backend }
 
+// Introduce names nodes that may be unknown here.
+type Introduce struct{ Addresses []string }
+
+func (Introduce) event() {}
+
 // Leave tells the others that the node stops.
 type Leave struct{}
 
@@ -70,6 +75,10 @@
 	State       wire.BackendState
 	Slots       int
 	Connections int
+	// Instance names the start of the server, empty if it does not tell.
+	Instance string
+	// ColdUntil is until when the server is slow after its start, by its own node's clock.
+	ColdUntil tiller.Millis
 }
 
 type probe struct {
@@ -138,6 +147,8 @@
 		c.receive(e.Envelope)
 	case Announce:
 		c.announce(e.Backend)
+	case Introduce:
+		c.introduce(e.Addresses)
 	case Leave:
 		c.leave()
 	}
@@ -203,7 +214,7 @@
 
 func (c *Core) announce(b Backend) {
 	if c.self.GetService() == string(b.Service) && c.self.GetState() == b.State && int(c.self.GetSlots()) == b.Slots &&
-		int(c.self.GetConnections()) == b.Connections {
+		int(c.self.GetConnections()) == b.Connections && c.self.GetInstance() == b.Instance && c.self.GetColdUntil() == int64(b.ColdUntil) {
 		return
 	}
 
@@ -216,6 +227,8 @@
 		e.State = b.State
 		e.Slots = uint32(max(b.Slots, 0))
 		e.Connections = uint32(max(b.Connections, 0))
+		e.Instance = b.Instance
+		e.ColdUntil = int64(b.ColdUntil)
 	})
 }
 
@@ -227,6 +240,22 @@
 	}
 }
 
+// introduce contacts nodes that are not in the table; they answer with what they know.
+func (c *Core) introduce(addresses []string) {
+	known := tiller.NewSet[string]()
+	for _, e := range c.Entries() {
+		if !gone(e) {
+			known.Add(e.GetAddress())
+		}
+	}
+
+	for _, address := range addresses {
+		if known.Add(address) {
+			c.sendProbe(address, 0, "", "")
+		}
+	}
+}
+
 // changeSelf raises the sequence, so that the change wins over what others say of this node.
 func (c *Core) changeSelf(change func(*wire.NodeEntry)) {
 	e, ok := proto.Clone(c.self).(*wire.NodeEntry)
--- a/membership/detector/probe.go
+++ b/membership/detector/probe.go
@@ -127,7 +127,21 @@
 	}
 
 	if c.SelfRank() < relaysPerDC {
-		c.probeRemote()
+		c.gossipRemote()
+	}
+}
+
+// gossipRemote pushes fresh entries to one node of every other data centre.
+func (c *Core) gossipRemote() {
+	for _, dc := range c.table.dataCentres() {
+		if dc == c.self.GetDataCentre() {
+			continue
+		}
+
+		nodes := slices.DeleteFunc(c.table.inDataCentre(dc), gone)
+		for _, e := range c.sample(nodes, 1) {
+			c.sendProbe(e.GetAddress(), 0, e.GetName(), "")
+		}
 	}
 }
 
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,11 +61,15 @@
 	failed  error
 	token   uint64
 	waiting map[uint64]chan *wire.ApplyReply
+	reading map[uint64]chan bool
 
 	transport *transporter.Transporter
 	http      *http.Server
 	listener  net.Listener
-	syncTime  metrics.Timer
+	// monitoring is the listener of the metrics address, nil if there is none.
+	monitoring net.Listener
+	monitor    *http.Server
+	syncTime   metrics.Timer
 }
 
 // Bootstrap makes a fresh data folder the first voter of a new cluster. It refuses a folder that already holds a log.
@@ -72,6 +77,48 @@
 	return seed(settings, arbiter.New(1))
 }
 
+// form gives a fresh data folder its part in a cluster that the initial voters form together: each works out the same first
+// snapshot from the same addresses. The disk takes the identity that the others expect, which no later disk can take.
+func form(settings Settings) error {
+	voters := make([]*wire.Member, 0, len(settings.InitialVoters))
+	for _, address := range slices.Sorted(slices.Values(settings.InitialVoters)) {
+		voters = append(voters, &wire.Member{Id: initialIdentity(address), Name: address, Address: address})
+	}
+
+	journal, restored, err := journaler.Open(settings.DataFolder, journaler.WithIdentity(initialIdentity(settings.Address)))
+	if err != nil {
+		return err
+	}
+
+	if restored.Snapshot != nil || len(restored.Entries) > 0 || journal.Identity() != initialIdentity(settings.Address) {
+		return journal.Close()
+	}
+
+	data, err := arbiter.New(1).Encode()
+	if err == nil {
+		s := replicator.Bootstrap(clusterOf(voters), data, voters...)
+		err = journal.SaveSnapshot(s, &wire.HardState{Term: 1}, nil)
+	}
+
+	return errors.Join(err, journal.Close())
+}
+
+// identitySpace makes the identities of initial voters and the cluster's differ from random ones.
+var identitySpace = uuid.NewSHA1(uuid.NameSpaceURL, []byte("sycamoretiller:initial-voter"))
+
+func initialIdentity(address string) string {
+	return uuid.NewSHA1(identitySpace, []byte(address)).String()
+}
+
+func clusterOf(voters []*wire.Member) string {
+	var all []byte
+	for _, v := range voters {
+		all = append(all, v.GetId()...)
+	}
+
+	return uuid.NewSHA1(identitySpace, all).String()
+}
+
 // seed writes the first snapshot of a cluster into a fresh data folder.
 func seed(settings Settings, state *arbiter.State) error {
 	journal, restored, err := journaler.Open(settings.DataFolder)
@@ -85,7 +132,7 @@
 
 	data, err := state.Encode()
 	if err == nil {
-		s := replicator.Bootstrap(uuid.NewString(), memberOf(settings, journal.Identity()), data)
+		s := replicator.Bootstrap(uuid.NewString(), data, memberOf(settings, journal.Identity()))
 		err = journal.SaveSnapshot(s, &wire.HardState{Term: 1}, nil)
 	}
 
@@ -100,9 +147,10 @@
 func New(settings Settings, options Options) (*Server, error) {
 	hybrid := recorder.NewHybridClock(tiller.WallClock())
 	s := &Server{
-		settings: settings, options: options, clock: tiller.SteadyClock(),
+		settings: settings, options: options, clock: tiller.BootClock(),
 		ring:     recorder.New(settings.Name, tiller.DataCentre(settings.DataCentre), hybrid),
 		waiting:  map[uint64]chan *wire.ApplyReply{},
+		reading:  map[uint64]chan bool{},
 		syncTime: metrics.GetOrRegisterTimer("journal.sync", options.Metrics),
 	}
 
@@ -123,6 +171,13 @@
 		return nil, errors.Join(eris.Wrap(err, "listen"), s.journal.Close(), transport.Close(context.Background()))
 	}
 
+	if settings.MetricsAddress != "" {
+		s.monitoring, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", settings.MetricsAddress)
+		if err != nil {
+			return nil, errors.Join(eris.Wrap(err, "listen"), s.journal.Close(), transport.Close(context.Background()), s.listener.Close())
+		}
+	}
+
 	s.buildHandlers()
 
 	return s, nil
@@ -130,6 +185,12 @@
 
 // open reads the journal and builds the core from it.
 func (s *Server) open() error {
+	if slices.Contains(s.settings.InitialVoters, s.settings.Address) {
+		if err := form(s.settings); err != nil {
+			return err
+		}
+	}
+
 	journal, restored, err := journaler.Open(s.settings.DataFolder)
 	if err != nil {
 		return err
@@ -157,6 +218,10 @@
 	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer((*operator)(s)))
 	monitor.Register(mux, s.options.Metrics, s.missing)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+
+	monitoring := http.NewServeMux()
+	monitor.Register(monitoring, s.options.Metrics, s.missing)
+	s.monitor = &http.Server{Handler: monitoring, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
 // missing returns what the controller lacks to serve.
@@ -198,6 +263,18 @@
 	for _, r := range effects.Replies {
 		s.answer(r.Token(), r.Reply())
 	}
+
+	s.answerReads(effects.Confirmed, true)
+	s.answerReads(effects.Unconfirmed, false)
+}
+
+func (s *Server) answerReads(tokens []uint64, confirmed bool) {
+	for _, token := range tokens {
+		if c := s.reading[token]; c != nil {
+			c <- confirmed
+			delete(s.reading, token)
+		}
+	}
 }
 
 func (s *Server) persist(e controller.Effects) error {
@@ -223,6 +300,10 @@
 	s.options.Log.Error(err, "disk failed; this controller stops taking part")
 	s.ring.Record(tiller.NewEvent(tiller.EventDiskFailed, err.Error()))
 
+	for token := range s.reading {
+		s.answerReads([]uint64{token}, false)
+	}
+
 	for token := range s.waiting {
 		s.answer(token, &wire.ApplyReply{
 			Verdict: tiller.VerdictMayHaveRun.String(),
@@ -240,12 +321,17 @@
 
 // Parts returns what runs until the controller stops.
 func (s *Server) Parts() []runner.Part {
-	return []runner.Part{
+	parts := []runner.Part{
 		runner.NewPart("journal", wait, func(context.Context) error { return s.closeJournal() }),
 		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
 		runner.NewPart("operators", s.serve, s.http.Shutdown),
 		runner.NewPart("timer", runner.Every(tickPeriod, func() { s.step(controller.Tick{}) }), nil),
 	}
+	if s.monitoring != nil {
+		parts = append(parts, runner.NewPart("monitor", func(context.Context) error { return serveOn(s.monitor, s.monitoring) }, s.monitor.Shutdown))
+	}
+
+	return parts
 }
 
 func wait(ctx context.Context) error {
@@ -268,7 +354,11 @@
 func (s *Server) serve(context.Context) error {
 	s.ring.Record(tiller.NewEvent(tiller.EventStarted, "controller"))
 
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	return serveOn(s.http, s.listener)
+}
+
+func serveOn(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(err, "serve")
 	}
 
@@ -277,7 +367,7 @@
 
 // Kill closes sockets and files at once, like the death of the process.
 func (s *Server) Kill() error {
-	return errors.Join(s.http.Close(), s.transport.Close(context.Background()), s.closeJournal())
+	return errors.Join(s.http.Close(), s.monitor.Close(), s.transport.Close(context.Background()), s.closeJournal())
 }
 
 // Address returns the controller's address.
--- a/process/controlserver/operator.go
+++ b/process/controlserver/operator.go
@@ -19,25 +19,75 @@
 
 var _ wire.Operator = (*operator)(nil)
 
-// Show returns the document in force and its history.
-func (o *operator) Show(context.Context, *wire.ShowRequest) (*wire.ShowReply, error) {
+// Show returns the document in force and its history, on request only after a quorum has confirmed that it is the newest.
+func (o *operator) Show(ctx context.Context, q *wire.ShowRequest) (*wire.ShowReply, error) {
 	s := (*Server)(o)
+	if !q.GetConfirm() {
+		return s.show(), nil
+	}
+
+	return s.ShowNewest(ctx)
+}
 
+func (s *Server) show() *wire.ShowReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.core.Show(s.clock.Now()), nil
+	return s.core.Show(s.clock.Now())
 }
 
-// Apply proposes an edit and waits for its outcome; when the caller gives up first, the edit may still be accepted.
+// ShowNewest returns the newest document, or an error where no quorum confirms that this controller leads.
+func (s *Server) ShowNewest(ctx context.Context) (*wire.ShowReply, error) {
+	if !s.confirm(ctx) {
+		return nil, twirp.NewError(twirp.Unavailable, "no quorum confirms that this controller leads")
+	}
+
+	return s.show(), nil
+}
+
+// confirm waits until a quorum has confirmed that this controller leads.
+func (s *Server) confirm(ctx context.Context) bool {
+	s.mu.Lock()
+	s.token++
+	token := s.token
+	confirmed := make(chan bool, 1)
+	s.reading[token] = confirmed
+	failed := s.failed != nil
+	s.mu.Unlock()
+
+	defer func() {
+		s.mu.Lock()
+		delete(s.reading, token)
+		s.mu.Unlock()
+	}()
+
+	if failed {
+		return false
+	}
+
+	s.step(controller.Read{Token: token})
+
+	select {
+	case ok := <-confirmed:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Apply proposes an edit and waits for its outcome.
 func (o *operator) Apply(ctx context.Context, e *wire.Edit) (*wire.ApplyReply, error) {
-	s := (*Server)(o)
+	return (*Server)(o).Apply(ctx, e), nil
+}
+
+// Apply proposes an edit and waits for its outcome; when the caller gives up first, the edit may still be accepted.
+func (s *Server) Apply(ctx context.Context, e *wire.Edit) *wire.ApplyReply {
 	token, reply := s.expect()
 	s.step(controller.Edit{Token: token, Edit: e})
 
 	select {
 	case r := <-reply:
-		return r, nil
+		return r
 	case <-ctx.Done():
 	}
 
@@ -47,7 +97,23 @@
 
 	return &wire.ApplyReply{
 		Verdict: tiller.VerdictMayHaveRun.String(), Advice: "no answer in time; send the same edit id again to learn the outcome",
-	}, nil
+	}
+}
+
+// Leader returns the address of the leading controller, empty if unknown.
+func (s *Server) Leader() tiller.Address {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.core.Leader()
+}
+
+// SetPeers replaces the controllers that the settings name.
+func (s *Server) SetPeers(peers []tiller.Address) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.core.SetPeers(peers)
 }
 
 // expect returns a token for an edit and where its answer will come.
--- a/process/controlserver/settings.go
+++ b/process/controlserver/settings.go
@@ -6,6 +6,7 @@
 
 	"gitlab.com/sycamoretiller/sycamoretiller/document/parser"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 )
 
 // Settings are a controller's settings file.
@@ -20,6 +21,11 @@
 	Peers []string `yaml:"peers"`
 	// DataFolder holds the log and the snapshots.
 	DataFolder string `yaml:"data_folder"`
+	// InitialVoters are the addresses of the controllers that form a new cluster together. A controller among them with an empty
+	// data folder starts as a voter; leave it out once the cluster exists.
+	InitialVoters []string `yaml:"initial_voters"`
+	// MetricsAddress serves health, readiness and metrics at a second place; empty means none.
+	MetricsAddress string `yaml:"metrics_address"`
 	// HeartbeatMs is the leader's heartbeat period in milliseconds.
 	HeartbeatMs int64 `yaml:"heartbeat_ms"`
 	// Verbose logs every lost message.
@@ -51,6 +57,12 @@
 		fault("address", err.Error())
 	}
 
+	if s.MetricsAddress != "" {
+		if err := transporter.CheckAddress(s.MetricsAddress); err != nil {
+			fault("metrics_address", err.Error())
+		}
+	}
+
 	if len(s.Peers) > maxPeers {
 		fault("peers", fmt.Sprintf("%d peers; at most %d are allowed", len(s.Peers), maxPeers))
 	}
@@ -61,6 +73,16 @@
 		}
 	}
 
+	for i, a := range s.InitialVoters {
+		if err := transporter.CheckAddress(a); err != nil {
+			fault(fmt.Sprintf("initial_voters[%d]", i), err.Error())
+		}
+	}
+
+	if len(s.InitialVoters) > replicator.MaxVoters {
+		fault("initial_voters", fmt.Sprintf("%d voters; at most %d are allowed", len(s.InitialVoters), replicator.MaxVoters))
+	}
+
 	if s.DataFolder == "" {
 		fault("data_folder", "a folder is needed for the log")
 	}
--- a/process/launcher/launcher.go
+++ b/process/launcher/launcher.go
@@ -9,11 +9,8 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/go-logr/logr"
-	"github.com/go-logr/zapr"
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
 )
 
 // Version is the programs' version.
@@ -91,20 +88,3 @@
 		setUsageError(c)
 	}
 }
-
-// NewLog returns a structured log on standard error.
-func NewLog(verbose bool) (logr.Logger, error) {
-	config := zap.NewProductionConfig()
-	if verbose {
-		config.Level = zap.NewAtomicLevelAt(zap.DebugLevel)
-	}
-
-	config.Sampling = nil
-
-	z, err := config.Build()
-	if err != nil {
-		return logr.Discard(), eris.Wrap(err, "open log")
-	}
-
-	return zapr.NewLogger(z), nil
-}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -272,6 +272,12 @@
 		c.onStrike(e.GetFrom(), b.Strike)
 	case *wire.Envelope_StrikeAck:
 		c.out.Announced = append(c.out.Announced, c.strikes.ack(e.GetFrom(), b.StrikeAck.GetNonce())...)
+	case *wire.Envelope_Offer:
+		if len(b.Offer.GetPeers()) > 0 {
+			c.detect(detector.Introduce{Addresses: b.Offer.GetPeers()})
+		}
+
+		c.subscribe(subscriber.Receive{Envelope: e})
 	default:
 		c.subscribe(subscriber.Receive{Envelope: e})
 	}
@@ -290,6 +296,9 @@
 	}
 }
 
+// SetControllers replaces the controllers that the settings name.
+func (c *Core) SetControllers(addresses []tiller.Address) { c.subscriber.SetControllers(addresses) }
+
 // Version returns the version in force.
 func (c *Core) Version() tiller.Version { return c.subscriber.Version() }
 
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -114,14 +114,26 @@
 
 var _ forwarder.Worker = (*workerAdapter)(nil)
 
-// Target returns where the backend server listens and its state.
-func (d *workerAdapter) Target() (tiller.Address, wire.BackendState) {
+// Target returns the backend server as it is now; one that drains still counts as ready while it may take work.
+func (d *workerAdapter) Target() forwarder.Target {
 	s := (*Server)(d)
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.registrar.Address(), s.registrar.Backend(s.clock.Now()).State
+	now := s.clock.Now()
+	state := s.registrar.Backend(now).State
+
+	if s.registrar.Accepts(now) {
+		state = wire.BackendState_BACKEND_STATE_READY
+	}
+
+	address := s.registrar.Address()
+	if s.settings.BackendAddress != "" {
+		address = tiller.Address(s.settings.BackendAddress)
+	}
+
+	return forwarder.NewTarget(address, s.registrar.Instance(), state)
 }
 
 // Refused notes that the backend server's port refused a connection.
@@ -152,24 +164,43 @@
 		return
 	}
 
+	if faults := s.Announce(a); len(faults) > 0 {
+		replyJSON(w, http.StatusUnprocessableEntity, announceReply{Faults: faults})
+
+		return
+	}
+
+	replyJSON(w, http.StatusOK, announceReply{})
+}
+
+// Announce takes what the backend server tells of itself, or returns every fault in it.
+func (s *Server) Announce(a registrar.Announcement) []string {
 	s.mu.Lock()
 	faults := s.registrar.Announce(s.clock.Now(), a)
 	s.mu.Unlock()
 
 	if len(faults) > 0 {
-		replyJSON(w, http.StatusUnprocessableEntity, announceReply{Faults: faults})
-
-		return
+		return faults
 	}
 
 	s.tick()
-	replyJSON(w, http.StatusOK, announceReply{})
 
 	if t := s.table.Load(); t != nil {
 		s.mu.Lock()
 		s.configureGate(t)
 		s.mu.Unlock()
 	}
+
+	return nil
+}
+
+// Withdraw notes that one start of the backend server leaves; born is its Unix millisecond, zero if it does not tell.
+func (s *Server) Withdraw(instance string, born int64) {
+	s.mu.Lock()
+	s.registrar.Withdraw(s.clock.Now(), instance, born)
+	s.mu.Unlock()
+
+	s.tick()
 }
 
 func replyJSON(w http.ResponseWriter, status int, v any) {
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
@@ -27,13 +28,19 @@
 		s.step(node.Receive{Wall: s.hybrid.Wall(), Envelope: e})
 	}))
 
-	for _, a := range []string{s.settings.Address, s.settings.CallAddress} {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a)
+	for _, address := range []string{
+		s.settings.Address, s.settings.CallAddress, s.settings.CallerAddress, s.settings.MonitorAddress, s.settings.MetricsAddress,
+	} {
+		if address == "" {
+			continue
+		}
+
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 		if err != nil {
 			return errors.Join(eris.Wrap(err, "listen"), s.closeSockets())
 		}
 
-		s.listeners = append(s.listeners, l)
+		s.listeners[address] = l
 	}
 
 	return nil
@@ -52,12 +59,36 @@
 
 // Parts returns what runs until the node stops.
 func (s *Server) Parts() []runner.Part {
-	return []runner.Part{
+	parts := []runner.Part{
 		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
-		runner.NewPart("control", serve(s.control, s.listeners[0]), s.control.Shutdown),
+		runner.NewPart("control", serve(s.control, s.listeners[s.settings.Address]), s.control.Shutdown),
+	}
+
+	for _, address := range []string{s.settings.MonitorAddress, s.settings.MetricsAddress} {
+		if address != "" {
+			parts = append(parts, runner.NewPart("monitor", serve(s.monitor, s.listeners[address]), s.monitor.Shutdown))
+		}
+	}
+
+	parts = append(parts,
 		runner.NewPart("timer", runner.Every(tickPeriod, s.tick), nil),
-		runner.NewPart("calls", serve(s.calls, s.listeners[1]), s.stopCalls),
-		runner.NewPart("membership", s.join, s.leave),
+		runner.NewPart("calls", accept(s.calls, s.listeners[s.settings.CallAddress]), s.stopCalls),
+	)
+
+	if s.callers != nil {
+		parts = append(parts, runner.NewPart("callers", accept(s.callers, s.listeners[s.settings.CallerAddress]), s.stopCallers))
+	}
+
+	return append(parts, runner.NewPart("membership", s.join, s.leave))
+}
+
+func accept(a *acceptor.Acceptor, l net.Listener) func(context.Context) error {
+	return func(context.Context) error {
+		if err := a.Serve(l); !errors.Is(err, acceptor.ErrClosed) {
+			return eris.Wrap(err, "accept")
+		}
+
+		return nil
 	}
 }
 
@@ -78,26 +109,50 @@
 	return nil
 }
 
-// leave drains: peers hear of it first, then the gate refuses late work.
+// leave gives notice: peers and callers hear that the node leaves and turn to others, while it goes on serving. Then the gate
+// refuses late work.
 func (s *Server) leave(ctx context.Context) error {
 	s.mu.Lock()
 	s.drained = true
 	s.mu.Unlock()
 
-	s.forwarder.Drain()
 	s.tick()
 
+	if s.callers != nil {
+		s.callers.Drain()
+	}
+
+	notice := s.settings.LeaveNoticeMs
+	if notice == 0 {
+		notice = defaultLeaveNoticeMs
+		s.forwarder.Drain()
+	}
+
 	select {
 	case <-ctx.Done():
-	case <-time.After(leaveLinger):
+	case <-time.After(time.Duration(notice) * time.Millisecond):
 	}
 
+	s.forwarder.Drain()
+
 	return nil
 }
 
+func (s *Server) drainTime(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(s.settings.DrainMs)*time.Millisecond)
+}
+
+// stopCallers waits for the calls of callers in flight.
+func (s *Server) stopCallers(ctx context.Context) error {
+	bounded, cancel := s.drainTime(ctx)
+	defer cancel()
+
+	return eris.Wrap(s.callers.Shutdown(bounded), "callers at the end of the drain time")
+}
+
 // stopCalls waits for the calls in flight and leaves the membership.
 func (s *Server) stopCalls(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, time.Duration(s.settings.DrainMs)*time.Millisecond)
+	bounded, cancel := s.drainTime(ctx)
 	defer cancel()
 
 	err := s.calls.Shutdown(bounded)
@@ -112,5 +167,10 @@
 
 // Kill closes the sockets at once, like the death of the process.
 func (s *Server) Kill() error {
-	return errors.Join(s.calls.Close(), s.control.Close(), s.transport.Close(context.Background()))
+	errs := []error{s.calls.Close(), s.control.Close(), s.monitor.Close(), s.transport.Close(context.Background())}
+	if s.callers != nil {
+		errs = append(errs, s.callers.Close())
+	}
+
+	return errors.Join(errs...)
 }
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -13,8 +13,10 @@
 	"github.com/rcrowley/go-metrics"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
@@ -31,8 +33,9 @@
 const (
 	tickPeriod        = 50 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
-	leaveLinger       = 500 * time.Millisecond
 	idleTimeout       = 60 * time.Second
+	// monitorTimeout bounds the answering of one question to the monitor.
+	monitorTimeout = 5 * time.Second
 )
 
 // Options change how a server meets its surroundings.
@@ -43,6 +46,8 @@
 	Log logr.Logger
 	// Metrics takes metrics.
 	Metrics metrics.Registry
+	// Dialect is what callers and backend servers speak; nil means the project's own.
+	Dialect tiller.Dialect
 }
 
 // Server is a running node.
@@ -68,11 +73,16 @@
 	gate      *limiter.Gate
 	forwarder *forwarder.Forwarder
 	transport *transporter.Transporter
+	splitter  *balancer.Splitter
 	control   *http.Server
-	calls     *http.Server
-	listeners []net.Listener
-	hops      forwarder.Dialer
-	backends  forwarder.Dialer
+	monitor   *http.Server
+	// calls serves other nodes, and callers too where they have no address of their own.
+	calls *acceptor.Acceptor
+	// callers serves callers where they have an address of their own, else it is nil.
+	callers   *acceptor.Acceptor
+	listeners map[string]net.Listener
+	hops      *exchanger.Exchanger
+	backends  *exchanger.Exchanger
 }
 
 // New opens the sockets of a node.
@@ -84,11 +94,13 @@
 	s := &Server{
 		settings: settings, options: options, clock: clock, hybrid: hybrid,
 		ring: recorder.New(settings.Name, dc, hybrid), register: quarantiner.New(),
-		registrar: registrar.New(tiller.Service(settings.Service)),
+		registrar: newRegistrar(settings),
+		listeners: map[string]net.Listener{},
+		splitter:  balancer.NewSplitter(newRandom()),
 		balancer:  balancer.New(dc, newRandom()),
 		gate:      limiter.NewGate(limiter.New(limiter.Options{}), clock),
-		hops:      forwarder.NewDialer(0, hopFilter(settings, options.Filter)),
-		backends:  forwarder.NewDialer(0, nil),
+		hops:      exchanger.New(exchanger.Options{Filter: hopFilter(settings, options.Filter)}),
+		backends:  newBackends(options.Metrics),
 	}
 
 	s.core = node.New(node.Identity{
@@ -106,6 +118,25 @@
 	return s, nil
 }
 
+func newRegistrar(settings Settings) *registrar.Core {
+	options := []registrar.Option{registrar.WithDrainLinger(tiller.Millis(settings.DrainLingerMs))}
+	if settings.AnnounceLeaseMs > 0 {
+		options = append(options, registrar.WithLease(tiller.Millis(settings.AnnounceLeaseMs)))
+	}
+
+	if settings.ConnectionsUnannounced {
+		options = append(options, registrar.WithoutConnections())
+	}
+
+	return registrar.New(tiller.Service(settings.Service), options...)
+}
+
+func newBackends(registry metrics.Registry) *exchanger.Exchanger {
+	opened := metrics.GetOrRegisterCounter("backend.connections_opened", registry)
+
+	return exchanger.New(exchanger.Options{Opened: func(tiller.Address) { opened.Inc(1) }})
+}
+
 // hopFilter limits the hops to other nodes like the messages.
 func hopFilter(settings Settings, filter transporter.Filter) func(tiller.Address) bool {
 	if filter == nil {
@@ -119,12 +150,21 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
+func (s *Server) dialect() tiller.Dialect {
+	if s.options.Dialect == nil {
+		return forwarder.Dialect{}
+	}
+
+	return s.options.Dialect
+}
+
 func (s *Server) buildHandlers() {
 	s.forwarder = forwarder.New(forwarder.Options{
 		Name: tiller.Worker(s.settings.Name), DataCentre: tiller.DataCentre(s.settings.DataCentre), Clock: s.clock,
 		Table: &s.table, Balancer: s.balancer, Gate: s.gate, Budget: retrier.NewBudget(), Register: s.register,
 		Claims: (*claimAdapter)(s), Strikes: (*strikeAdapter)(s), Worker: (*workerAdapter)(s),
-		Hops: s.hops, Backends: s.backends, Recorder: s.ring, Metrics: s.options.Metrics,
+		Hops: s.hops, Backends: s.backends, Recorder: s.ring, Metrics: s.options.Metrics, Service: tiller.Service(s.settings.Service),
+		Dialect: s.dialect(), Splitter: s.splitter, ConfirmCrashes: s.settings.ConfirmCrashes, Log: s.options.Log,
 	})
 
 	mux := http.NewServeMux()
@@ -134,7 +174,31 @@
 	monitor.Register(mux, s.options.Metrics, s.missing)
 
 	s.control = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	s.calls = &http.Server{Handler: s.forwarder, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+
+	if s.settings.CallerAddress == "" {
+		s.calls = acceptor.New(s.forwarder, s.callerLimits)
+	} else {
+		s.calls = acceptor.New(s.forwarder.HopHandler(), acceptor.DefaultLimits)
+		s.callers = acceptor.New(s.forwarder.CallerHandler(), s.callerLimits)
+	}
+
+	monitoring := http.NewServeMux()
+	monitor.Register(monitoring, s.options.Metrics, s.missing)
+	s.monitor = &http.Server{Handler: monitoring, ReadHeaderTimeout: monitorTimeout, IdleTimeout: idleTimeout}
+}
+
+// callerLimits returns what the document in force allows callers.
+func (s *Server) callerLimits() acceptor.Limits {
+	t := s.table.Load()
+	if t == nil {
+		return acceptor.DefaultLimits()
+	}
+
+	own := t.Own()
+
+	return acceptor.NewLimits(
+		int(own.Value(tiller.SettingMaxHeaderBytes)), own.Millis(tiller.SettingHeaderTimeoutMs), own.Millis(tiller.SettingIdleTimeoutMs),
+	)
 }
 
 // missing returns what the node lacks to serve calls.
@@ -195,6 +259,7 @@
 	}
 
 	s.balancer.Forget(known)
+	s.splitter.Forget(table.RouteNames())
 	s.configureGate(table)
 }
 
@@ -252,6 +317,14 @@
 	}
 }
 
+// SetControllers replaces the controllers that the settings name.
+func (s *Server) SetControllers(addresses []tiller.Address) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.core.SetControllers(addresses)
+}
+
 // Address returns the control address.
 func (s *Server) Address() tiller.Address { return tiller.Address(s.settings.Address) }
 
--- a/process/nodeserver/settings.go
+++ b/process/nodeserver/settings.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"gitlab.com/sycamoretiller/sycamoretiller/document/parser"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
 )
 
@@ -20,6 +21,25 @@
 	Address string `yaml:"address"`
 	// CallAddress takes calls over HTTP.
 	CallAddress string `yaml:"call_address"`
+	// CallerAddress takes callers' calls where callers and other nodes must not share an address; empty means that the call
+	// address takes both.
+	CallerAddress string `yaml:"caller_address"`
+	// MonitorAddress serves health, readiness and metrics alone; empty means that only the control address does.
+	MonitorAddress string `yaml:"monitor_address"`
+	// MetricsAddress serves the same as the monitor address at a second place; empty means none.
+	MetricsAddress string `yaml:"metrics_address"`
+	// BackendAddress is where the backend server listens; empty means that its announcements tell.
+	BackendAddress string `yaml:"backend_address"`
+	// AnnounceLeaseMs is how long an announcement of the backend server holds without another one, in milliseconds.
+	AnnounceLeaseMs int64 `yaml:"announce_lease_ms"`
+	// ConnectionsUnannounced takes announcements without a number of connections; the document bounds them.
+	ConnectionsUnannounced bool `yaml:"connections_unannounced"`
+	// DrainLingerMs is how long a draining backend server takes calls of nodes that have not heard of it, in milliseconds.
+	DrainLingerMs int64 `yaml:"drain_linger_ms"`
+	// ConfirmCrashes counts a broken connection as a crash of the backend server only if its port refuses connections then.
+	ConfirmCrashes bool `yaml:"confirm_crashes"`
+	// LeaveNoticeMs is how long a stopping node goes on serving after it reports that it is not ready, in milliseconds.
+	LeaveNoticeMs int64 `yaml:"leave_notice_ms"`
 	// Controllers are the addresses of the control VMs.
 	Controllers []string `yaml:"controllers"`
 	// Seeds are the addresses of a few nodes to meet the others through.
@@ -33,11 +53,14 @@
 const (
 	defaultDrainMs = 30_000
 	maxDrainMs     = 600_000
+
+	defaultAnnounceLeaseMs = int64(registrar.Lease)
+	defaultLeaveNoticeMs   = 500
 )
 
 // ReadSettings reads and checks a settings file.
 func ReadSettings(path string) (Settings, error) {
-	s := Settings{DrainMs: defaultDrainMs}
+	s := Settings{DrainMs: defaultDrainMs, AnnounceLeaseMs: defaultAnnounceLeaseMs, LeaveNoticeMs: defaultLeaveNoticeMs}
 	err := parser.Settings(path, &s, func() []parser.Fault { return Settings.Check(s) })
 
 	return s, err
@@ -60,6 +83,15 @@
 	check("address", s.Address)
 	check("call_address", s.CallAddress)
 
+	for key, address := range map[string]string{
+		"caller_address": s.CallerAddress, "monitor_address": s.MonitorAddress, "metrics_address": s.MetricsAddress,
+		"backend_address": s.BackendAddress,
+	} {
+		if address != "" {
+			check(key, address)
+		}
+	}
+
 	for i, a := range s.Controllers {
 		check(fmt.Sprintf("controllers[%d]", i), a)
 	}
@@ -72,8 +104,18 @@
 		fault("controllers", "at least one controller is needed")
 	}
 
-	if s.DrainMs < 0 || s.DrainMs > maxDrainMs {
-		fault("drain_ms", fmt.Sprintf("%d ms; allowed are 0 to %d", s.DrainMs, maxDrainMs))
+	for _, span := range []struct {
+		key   string
+		value int64
+	}{
+		{"drain_ms", s.DrainMs},
+		{"announce_lease_ms", s.AnnounceLeaseMs},
+		{"drain_linger_ms", s.DrainLingerMs},
+		{"leave_notice_ms", s.LeaveNoticeMs},
+	} {
+		if span.value < 0 || span.value > maxDrainMs {
+			fault(span.key, fmt.Sprintf("%d ms; allowed are 0 to %d", span.value, maxDrainMs))
+		}
 	}
 
 	return faults
--- a/reason_enumer.go
+++ b/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_ready"
+const _ReasonName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_readyrequest_malformed"
 
-var _ReasonIndex = [...]uint8{0, 8, 18, 26, 34, 42, 56, 67, 78, 89, 100, 110, 120, 131, 148, 164, 180, 197, 206, 215}
+var _ReasonIndex = [...]uint8{0, 8, 18, 26, 34, 42, 56, 67, 78, 89, 100, 110, 120, 131, 148, 164, 180, 197, 206, 215, 232}
 
-const _ReasonLowerName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_ready"
+const _ReasonLowerName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_readyrequest_malformed"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -43,9 +43,10 @@
 	_ = x[ReasonRequestTooLarge-(16)]
 	_ = x[ReasonCancelled-(17)]
 	_ = x[ReasonNotReady-(18)]
+	_ = x[ReasonRequestMalformed-(19)]
 }
 
-var _ReasonValues = []Reason{ReasonNoRoute, ReasonNoBackend, ReasonOverload, ReasonDeadline, ReasonDraining, ReasonBackendFailed, ReasonUnreachable, ReasonQuarantined, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyReused, ReasonKeyFenced, ReasonInProgress, ReasonClaimUnavailable, ReasonAnswerTruncated, ReasonAnswerTooLarge, ReasonRequestTooLarge, ReasonCancelled, ReasonNotReady}
+var _ReasonValues = []Reason{ReasonNoRoute, ReasonNoBackend, ReasonOverload, ReasonDeadline, ReasonDraining, ReasonBackendFailed, ReasonUnreachable, ReasonQuarantined, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyReused, ReasonKeyFenced, ReasonInProgress, ReasonClaimUnavailable, ReasonAnswerTruncated, ReasonAnswerTooLarge, ReasonRequestTooLarge, ReasonCancelled, ReasonNotReady, ReasonRequestMalformed}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     ReasonNoRoute,
@@ -67,6 +68,7 @@
 	_ReasonName[180:197]: ReasonRequestTooLarge,
 	_ReasonName[197:206]: ReasonCancelled,
 	_ReasonName[206:215]: ReasonNotReady,
+	_ReasonName[215:232]: ReasonRequestMalformed,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -89,6 +91,7 @@
 	_ReasonLowerName[180:197]: ReasonRequestTooLarge,
 	_ReasonLowerName[197:206]: ReasonCancelled,
 	_ReasonLowerName[206:215]: ReasonNotReady,
+	_ReasonLowerName[215:232]: ReasonRequestMalformed,
 }
 
 var _ReasonNames = []string{
@@ -111,6 +114,7 @@
 	_ReasonName[180:197],
 	_ReasonName[197:206],
 	_ReasonName[206:215],
+	_ReasonName[215:232],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/setting.go
+++ b/setting.go
@@ -22,6 +22,9 @@
 	SettingQuarantineStrikes
 	SettingQuarantineSeconds
 	SettingTrafficPercent
+	SettingMaxHeaderBytes
+	SettingHeaderTimeoutMs
+	SettingIdleTimeoutMs
 )
 
 // SettingRange bounds a setting and gives the value where the document states none.
@@ -54,8 +57,8 @@
 	SettingRetryBudgetPercent: {0, 100, 10, "%", "retries allowed per hundred calls"},
 	SettingQueueLength:        {0, 10_000, 32, "calls", "calls that may wait for a slot of one worker"},
 	SettingQueueTimeoutMs:     {0, 60_000, 500, "ms", "longest wait for a slot"},
-	SettingMaxRequestBytes:    {1024, 64 << 20, 1 << 20, "bytes", "largest request body"},
-	SettingMaxAnswerBytes:     {1024, 64 << 20, 1 << 20, "bytes", "largest answer body"},
+	SettingMaxRequestBytes:    {0, 1 << 40, 1 << 20, "bytes", "largest request body"},
+	SettingMaxAnswerBytes:     {1024, 1 << 40, 64 << 20, "bytes", "largest answer body"},
 	SettingDrainSeconds:       {1, 600, 30, "s", "time for calls in flight when a worker leaves"},
 	SettingSlowStartMs:        {0, 600_000, 10_000, "ms", "time over which a cold worker reaches its full share"},
 	SettingEjectAfterFailures: {1, 1000, 5, "failures", "failures in a row before a worker is ejected"},
@@ -64,6 +67,9 @@
 	SettingQuarantineStrikes:  {1, 10, 2, "crashes", "crashes after which a request is refused"},
 	SettingQuarantineSeconds:  {1, 86_400, 600, "s", "time that a request stays refused"},
 	SettingTrafficPercent:     {0, 100, 100, "%", "share of its fair load that a worker receives"},
+	SettingMaxHeaderBytes:     {512, 1 << 20, 64 << 10, "bytes", "largest request line with headers"},
+	SettingHeaderTimeoutMs:    {10, 600_000, 5000, "ms", "time that a caller has for the headers of one request"},
+	SettingIdleTimeoutMs:      {10, 3_600_000, 60_000, "ms", "time that a caller's connection stays open without a request"},
 }
 
 // Range returns the bounds of a setting.
--- a/setting_enumer.go
+++ b/setting_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _SettingName = "call_timeout_msattemptsretry_budget_percentqueue_lengthqueue_timeout_msmax_request_bytesmax_answer_bytesdrain_secondsslow_start_mseject_after_failureseject_msmax_ejected_percentquarantine_strikesquarantine_secondstraffic_percent"
+const _SettingName = "call_timeout_msattemptsretry_budget_percentqueue_lengthqueue_timeout_msmax_request_bytesmax_answer_bytesdrain_secondsslow_start_mseject_after_failureseject_msmax_ejected_percentquarantine_strikesquarantine_secondstraffic_percentmax_header_bytesheader_timeout_msidle_timeout_ms"
 
-var _SettingIndex = [...]uint8{0, 15, 23, 43, 55, 71, 88, 104, 117, 130, 150, 158, 177, 195, 213, 228}
+var _SettingIndex = [...]uint16{0, 15, 23, 43, 55, 71, 88, 104, 117, 130, 150, 158, 177, 195, 213, 228, 244, 261, 276}
 
-const _SettingLowerName = "call_timeout_msattemptsretry_budget_percentqueue_lengthqueue_timeout_msmax_request_bytesmax_answer_bytesdrain_secondsslow_start_mseject_after_failureseject_msmax_ejected_percentquarantine_strikesquarantine_secondstraffic_percent"
+const _SettingLowerName = "call_timeout_msattemptsretry_budget_percentqueue_lengthqueue_timeout_msmax_request_bytesmax_answer_bytesdrain_secondsslow_start_mseject_after_failureseject_msmax_ejected_percentquarantine_strikesquarantine_secondstraffic_percentmax_header_bytesheader_timeout_msidle_timeout_ms"
 
 func (i Setting) String() string {
 	if i < 0 || i >= Setting(len(_SettingIndex)-1) {
@@ -39,9 +39,12 @@
 	_ = x[SettingQuarantineStrikes-(12)]
 	_ = x[SettingQuarantineSeconds-(13)]
 	_ = x[SettingTrafficPercent-(14)]
+	_ = x[SettingMaxHeaderBytes-(15)]
+	_ = x[SettingHeaderTimeoutMs-(16)]
+	_ = x[SettingIdleTimeoutMs-(17)]
 }
 
-var _SettingValues = []Setting{SettingCallTimeoutMs, SettingAttempts, SettingRetryBudgetPercent, SettingQueueLength, SettingQueueTimeoutMs, SettingMaxRequestBytes, SettingMaxAnswerBytes, SettingDrainSeconds, SettingSlowStartMs, SettingEjectAfterFailures, SettingEjectMs, SettingMaxEjectedPercent, SettingQuarantineStrikes, SettingQuarantineSeconds, SettingTrafficPercent}
+var _SettingValues = []Setting{SettingCallTimeoutMs, SettingAttempts, SettingRetryBudgetPercent, SettingQueueLength, SettingQueueTimeoutMs, SettingMaxRequestBytes, SettingMaxAnswerBytes, SettingDrainSeconds, SettingSlowStartMs, SettingEjectAfterFailures, SettingEjectMs, SettingMaxEjectedPercent, SettingQuarantineStrikes, SettingQuarantineSeconds, SettingTrafficPercent, SettingMaxHeaderBytes, SettingHeaderTimeoutMs, SettingIdleTimeoutMs}
 
 var _SettingNameToValueMap = map[string]Setting{
 	_SettingName[0:15]:    SettingCallTimeoutMs,
@@ -59,6 +62,9 @@
 	_SettingName[177:195]: SettingQuarantineStrikes,
 	_SettingName[195:213]: SettingQuarantineSeconds,
 	_SettingName[213:228]: SettingTrafficPercent,
+	_SettingName[228:244]: SettingMaxHeaderBytes,
+	_SettingName[244:261]: SettingHeaderTimeoutMs,
+	_SettingName[261:276]: SettingIdleTimeoutMs,
 }
 
 var _SettingLowerNameToValueMap = map[string]Setting{
@@ -77,6 +83,9 @@
 	_SettingLowerName[177:195]: SettingQuarantineStrikes,
 	_SettingLowerName[195:213]: SettingQuarantineSeconds,
 	_SettingLowerName[213:228]: SettingTrafficPercent,
+	_SettingLowerName[228:244]: SettingMaxHeaderBytes,
+	_SettingLowerName[244:261]: SettingHeaderTimeoutMs,
+	_SettingLowerName[261:276]: SettingIdleTimeoutMs,
 }
 
 var _SettingNames = []string{
@@ -95,6 +104,9 @@
 	_SettingName[177:195],
 	_SettingName[195:213],
 	_SettingName[213:228],
+	_SettingName[228:244],
+	_SettingName[244:261],
+	_SettingName[261:276],
 }
 
 // SettingString retrieves an enum value from the enum constants string name.
--- a/source/arbiter/arbiter.go
+++ b/source/arbiter/arbiter.go
@@ -5,7 +5,9 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -94,6 +96,10 @@
 }
 
 func (s *State) accepts(e *wire.Edit) bool {
+	if e.GetByRevision() {
+		return e.GetBaseRevision() == s.Revision()
+	}
+
 	base := tiller.VersionOf(e.GetBase())
 
 	return base.Compare(s.version) == 0 && base.SameContent(s.version)
@@ -137,6 +143,7 @@
 	return &wire.Edit{
 		Id: e.GetId(), Base: e.GetBase(), Author: e.GetAuthor(), Reason: e.GetReason(), Items: upserts, Removes: removes,
 		TargetHash: encoder.Hash(e.GetItems()), RequestHash: RequestHash(e),
+		BaseRevision: e.GetBaseRevision(), ByRevision: e.GetByRevision(),
 	}
 }
 
@@ -193,6 +200,9 @@
 // Version returns the version in force.
 func (s *State) Version() tiller.Version { return s.version }
 
+// Revision returns the operators' own number of the document in force, zero if they keep none.
+func (s *State) Revision() uint64 { return encoder.Revision(s.items) }
+
 // Items returns the items in force.
 func (s *State) Items() []*wire.Item { return s.items }
 
@@ -262,6 +272,10 @@
 	h.Write([]byte(tiller.VersionOf(e.GetBase()).String()))
 	h.Write(encoder.Hash(e.GetItems()))
 
+	if e.GetByRevision() {
+		h.Write(strconv.AppendUint(nil, e.GetBaseRevision(), 10))
+	}
+
 	return h.Sum(nil)[:encoder.HashBytes]
 }
 
@@ -277,6 +291,10 @@
 		faults = append(faults, "items must be ordered by path")
 	}
 
+	if revision := encoder.Revision(e.GetItems()); e.GetByRevision() && revision <= e.GetBaseRevision() {
+		faults = append(faults, fmt.Sprintf("revision %d must be above its base %d", revision, e.GetBaseRevision()))
+	}
+
 	return append(faults, CheckItems(e.GetItems())...)
 }
 
--- a/source/controller/controller.go
+++ b/source/controller/controller.go
@@ -24,14 +24,15 @@
 	wholeCost = 8
 	pullCost  = 1
 
-	recentVersions                = 256
-	compactEvery                  = 512
-	relayMemory                   = 15 * tiller.Second
-	joinPeriod                    = tiller.Second
-	busyRetry                     = 2 * tiller.Second
-	maxPeersTold                  = 3
-	editTimeout     tiller.Millis = 5000
-	maxWaitingEdits               = 256
+	recentVersions                   = 256
+	compactEvery                     = 512
+	relayMemory                      = 15 * tiller.Second
+	joinPeriod                       = tiller.Second
+	busyRetry                        = 2 * tiller.Second
+	maxPeersTold                     = 4
+	maxDataCentresTold               = 16
+	editTimeout        tiller.Millis = 5000
+	maxWaitingEdits                  = 256
 )
 
 // Effects is what the caller must do after a step, in the order of the fields.
@@ -44,6 +45,10 @@
 	Messages []*wire.Envelope
 	// Replies answer edits.
 	Replies []Reply
+	// Confirmed are the tokens of reads that see the newest committed version.
+	Confirmed []uint64
+	// Unconfirmed are the tokens of reads that this controller cannot answer.
+	Unconfirmed []uint64
 	// Events go to the time line.
 	Events []tiller.Event
 }
@@ -75,6 +80,10 @@
 	Edit  *wire.Edit
 }
 
+// Read asks whether what this controller shows is the newest; the token comes back in the effects.
+type Read struct{ Token uint64 }
+
+func (Read) event()    {}
 func (Tick) event()    {}
 func (Receive) event() {}
 func (Edit) event()    {}
@@ -172,6 +181,8 @@
 		c.receive(e.Envelope)
 	case Edit:
 		c.edit(e)
+	case Read:
+		c.run(replicator.Confirm{Token: e.Token})
 	}
 
 	return c.out
@@ -183,6 +194,8 @@
 	c.out.Record = mergeRecords(c.out.Record, e.Record)
 	c.out.Events = append(c.out.Events, e.Events...)
 	c.out.Messages = append(c.out.Messages, e.Messages...)
+	c.out.Confirmed = append(c.out.Confirmed, e.Confirmed...)
+	c.out.Unconfirmed = append(c.out.Unconfirmed, e.Unconfirmed...)
 
 	if e.Snapshot != nil {
 		c.out.Snapshot = e.Snapshot
@@ -334,6 +347,9 @@
 	}
 }
 
+// SetPeers replaces the controllers that the settings name.
+func (c *Core) SetPeers(peers []tiller.Address) { c.peers = peers }
+
 // Leader returns the address of the leading controller, empty if unknown.
 func (c *Core) Leader() tiller.Address { return c.log.Leader() }
 
--- a/source/controller/serve.go
+++ b/source/controller/serve.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -17,15 +18,28 @@
 
 	c.joinAt = c.now + joinPeriod
 
-	for _, m := range c.log.Members() {
-		if m.GetId() == c.member.GetId() {
-			return
-		}
+	// A member that hears no leader may have been removed while it was away.
+	if c.log.Cluster() != "" && c.log.Leader() != "" {
+		return
 	}
 
+	for _, p := range c.joinTargets() {
+		c.send(p, &wire.Envelope{Cluster: c.log.Cluster(), Body: &wire.Envelope_Join{Join: &wire.Join{Member: c.member}}})
+	}
+}
+
+// joinTargets returns the configured controllers and those of the log.
+func (c *Core) joinTargets() []string {
+	out := tiller.NewSet[string]()
 	for _, p := range c.peers {
-		c.send(string(p), &wire.Envelope{Cluster: c.log.Cluster(), Body: &wire.Envelope_Join{Join: &wire.Join{Member: c.member}}})
+		out.Add(string(p))
 	}
+
+	for _, m := range c.log.Members() {
+		out.Add(m.GetAddress())
+	}
+
+	return out.Sorted()
 }
 
 func (c *Core) receive(e *wire.Envelope) {
@@ -77,7 +91,29 @@
 		c.send(from, &wire.Envelope{Body: &wire.Envelope_ClaimPlacements{ClaimPlacements: c.state.Placements()}})
 	}
 
-	c.send(from, &wire.Envelope{Body: &wire.Envelope_Offer{Offer: c.offer()}})
+	offer := c.offer()
+	offer.Peers = c.introductions(from)
+	c.send(from, &wire.Envelope{Body: &wire.Envelope_Offer{Offer: offer}})
+}
+
+// introductions returns a few relays of every data centre, so that nodes that know nobody find each other.
+func (c *Core) introductions(asker string) []string {
+	told := map[string]int{}
+
+	var out []string
+
+	for _, address := range sortedKeys(c.relays) {
+		r := c.relays[address]
+		if address == asker || c.now >= r.seenAt+relayMemory || told[r.dataCentre] >= maxPeersTold ||
+			(told[r.dataCentre] == 0 && len(told) >= maxDataCentresTold) {
+			continue
+		}
+
+		told[r.dataCentre]++
+		out = append(out, address)
+	}
+
+	return out
 }
 
 func costOf(d *wire.Difference) int64 {
@@ -89,8 +125,14 @@
 }
 
 func (c *Core) offer() *wire.Offer {
+	controllers := make([]string, 0, len(c.log.Members()))
+	for _, m := range c.log.Members() {
+		controllers = append(controllers, m.GetAddress())
+	}
+
 	return &wire.Offer{
-		Version: c.holder.Version().Wire(), Confirmed: c.Current(c.now), Leader: string(c.log.Leader()),
+		Controllers: controllers,
+		Version:     c.holder.Version().Wire(), Confirmed: c.Current(c.now), Leader: string(c.log.Leader()),
 		PlacementRevision: c.state.Placements().GetRevision(),
 	}
 }
--- a/source/journaler/frame.go
+++ b/source/journaler/frame.go
@@ -1,6 +1,7 @@
 package journaler
 
 import (
+	"bytes"
 	"encoding/binary"
 	"hash/crc32"
 
@@ -71,3 +72,35 @@
 
 	return true
 }
+
+// holeBytes is the shortest run of zeros that counts as a part of a write that never reached the disk.
+const holeBytes = 16
+
+// tornTail reports whether damaged data is what a power loss left of the last append. Each append is synced before the next
+// one, so that only the last frame can be incomplete, and its missing parts read as zeros. A frame without such a hole was
+// damaged after it was written.
+func tornTail(data []byte) bool {
+	if crc32.Checksum(data[:8], castagnoli) == binary.BigEndian.Uint32(data[8:]) {
+		size := int(binary.BigEndian.Uint32(data))
+
+		return len(data) <= headerBytes+size && hasHole(data[headerBytes:])
+	}
+
+	return hasHole(data) && !holdsFrame(data[1:])
+}
+
+// hasHole reports whether data ends in a zero or contains a run of zeros.
+func hasHole(data []byte) bool {
+	return len(data) == 0 || data[len(data)-1] == 0 || bytes.Contains(data, make([]byte, holeBytes))
+}
+
+// holdsFrame reports whether an intact frame starts anywhere in the data.
+func holdsFrame(data []byte) bool {
+	for i := 0; i+headerBytes < len(data); i++ {
+		if payload, _, err := decodeFrame(data[i:]); err == nil && len(payload) > 0 {
+			return true
+		}
+	}
+
+	return false
+}
--- a/source/journaler/journaler.go
+++ b/source/journaler/journaler.go
@@ -34,24 +34,36 @@
 type Journal struct {
 	folder   string
 	identity string
-	sequence uint64
-	log      *os.File
-	lock     *os.File
-	failed   error
+	// newIdentity is given to a disk that has none.
+	newIdentity string
+	sequence    uint64
+	log         *os.File
+	lock        *os.File
+	failed      error
 }
 
 var _ tiller.Journal = (*Journal)(nil)
 
+// Option changes how a journal is opened.
+type Option func(*Journal)
+
+// WithIdentity gives a disk that has none a certain identity instead of a random one.
+func WithIdentity(identity string) Option { return func(j *Journal) { j.newIdentity = identity } }
+
 // Open locks the folder, creates what is missing and returns the stored state. Damage in the middle of a file is an
 // error that names the file and the offset; a torn tail is cut.
-func Open(folder string) (*Journal, replicator.Restored, error) {
+func Open(folder string, options ...Option) (*Journal, replicator.Restored, error) {
 	var none replicator.Restored
 
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, none, eris.Wrap(err, "create data folder")
 	}
 
-	j := &Journal{folder: folder}
+	j := &Journal{folder: folder, newIdentity: uuid.NewString()}
+	for _, o := range options {
+		o(j)
+	}
+
 	if err := j.acquire(); err != nil {
 		return nil, none, err
 	}
@@ -130,7 +142,7 @@
 		return errors.Join(err, eris.Errorf("%s is missing although the folder holds a log", path))
 	}
 
-	j.identity = uuid.NewString()
+	j.identity = j.newIdentity
 
 	return j.writeFile(identityFile, []byte(j.identity+"\n"))
 }
@@ -199,6 +211,10 @@
 			break
 		}
 
+		if err != nil && len(rest) < len(data) && tornTail(rest) {
+			break
+		}
+
 		if err != nil {
 			return eris.Wrapf(err, "%s: offset %d: restore the disk or start this controller with an empty folder", path, len(data)-len(rest))
 		}
--- a/source/journaler/journaler_test.go
+++ b/source/journaler/journaler_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
@@ -62,6 +63,10 @@
 	}{
 		{"torn payload", func(d []byte) []byte { return d[:len(d)-7] }, 4, ""},
 		{"torn header", func(d []byte) []byte { return append(d, 0, 0, 1) }, 5, ""},
+		{"last payload ends in zeros", func(d []byte) []byte { return zero(d, len(d)-9, len(d)) }, 4, ""},
+		{"hole in the last payload", func(d []byte) []byte { return zero(d, len(d)-40, len(d)-20) }, 4, ""},
+		{"hole over the last header", func(d []byte) []byte { return zero(d, len(d)-frameBytes, len(d)-frameBytes+20) }, 4, ""},
+		{"hole in a payload in the middle", func(d []byte) []byte { return zero(d, len(d)-2*frameBytes+12, len(d)-2*frameBytes+32) }, 0, "offset"},
 		{"zeros after the end", func(d []byte) []byte { return append(d, make([]byte, 512)...) }, 5, ""},
 		{"flipped bit in a payload in the middle", func(d []byte) []byte { return flip(d, len(d)/2) }, 0, "offset"},
 		{"flipped bit in a header", func(d []byte) []byte { return flip(d, 14) }, 0, "offset 12"},
@@ -89,6 +94,15 @@
 	}
 }
 
+// frameBytes is the length of the last frame that write leaves in a log.
+var frameBytes = 12 + proto.Size(record(5))
+
+func zero(d []byte, from, to int) []byte {
+	clear(d[from:to])
+
+	return d
+}
+
 func flip(d []byte, at int) []byte {
 	d[at] ^= 0x10
 
--- a/source/replicator/append.go
+++ b/source/replicator/append.go
@@ -29,7 +29,7 @@
 	entries := c.batch(p.next)
 	c.send(m.GetAddress(), &wire.Envelope{Body: &wire.Envelope_Append{Append: &wire.Append{
 		Term: c.term, Leader: c.id, PreviousIndex: previous, PreviousTerm: c.termAt(previous),
-		Entries: entries, Commit: c.commit, SentAt: int64(c.now),
+		Entries: entries, Commit: c.commit, SentAt: int64(c.now), Round: c.round,
 	}}})
 }
 
@@ -54,7 +54,7 @@
 
 	p.snapshotUntil = c.now + snapshotRetry
 	c.send(m.GetAddress(), &wire.Envelope{Body: &wire.Envelope_InstallSnapshot{InstallSnapshot: &wire.InstallSnapshot{
-		Term: c.term, Leader: c.id, Snapshot: c.snapshot, SentAt: int64(c.now),
+		Term: c.term, Leader: c.id, Snapshot: c.snapshot, SentAt: int64(c.now), Round: c.round,
 	}}})
 }
 
@@ -65,7 +65,7 @@
 
 func (c *Core) onAppend(from string, a *wire.Append) {
 	if a.GetTerm() < c.term {
-		c.replyAppend(from, a.GetSentAt(), false, 0)
+		c.replyAppend(from, a, false, 0)
 
 		return
 	}
@@ -73,7 +73,7 @@
 	c.hear(a.GetTerm(), a.GetLeader())
 
 	if !c.matches(a) {
-		c.replyAppend(from, a.GetSentAt(), false, 0)
+		c.replyAppend(from, a, false, 0)
 
 		return
 	}
@@ -82,7 +82,7 @@
 	c.merge(a.GetEntries())
 
 	c.commit = max(c.commit, min(a.GetCommit(), last))
-	c.replyAppend(from, a.GetSentAt(), true, last)
+	c.replyAppend(from, a, true, last)
 }
 
 // matches reports whether the log agrees with the leader's at the position before the new entries.
@@ -112,9 +112,15 @@
 	}
 }
 
-func (c *Core) replyAppend(to string, sentAt int64, ok bool, match uint64) {
+// echoed is what a leader's message carries for the reply.
+type echoed interface {
+	GetSentAt() int64
+	GetRound() uint64
+}
+
+func (c *Core) replyAppend(to string, e echoed, ok bool, match uint64) {
 	c.send(to, &wire.Envelope{Body: &wire.Envelope_AppendReply{AppendReply: &wire.AppendReply{
-		Term: c.term, Follower: c.id, Success: ok, MatchIndex: match, HintIndex: c.lastIndex(), SentAt: sentAt,
+		Term: c.term, Follower: c.id, Success: ok, MatchIndex: match, HintIndex: c.lastIndex(), SentAt: e.GetSentAt(), Round: e.GetRound(),
 	}}})
 }
 
@@ -132,6 +138,7 @@
 
 	p.acked = max(p.acked, min(tiller.Millis(r.GetSentAt()), c.now))
 	p.heard = c.now
+	p.round = max(p.round, min(r.GetRound(), c.round))
 
 	if !r.GetSuccess() {
 		c.backtrack(r, p)
@@ -163,7 +170,7 @@
 
 func (c *Core) onInstallSnapshot(from string, r *wire.InstallSnapshot) {
 	if r.GetTerm() < c.term {
-		c.replyAppend(from, r.GetSentAt(), false, 0)
+		c.replyAppend(from, r, false, 0)
 
 		return
 	}
@@ -183,7 +190,7 @@
 		c.install(s)
 	}
 
-	c.replyAppend(from, r.GetSentAt(), true, max(s.GetIndex(), min(c.commit, c.lastIndex())))
+	c.replyAppend(from, r, true, max(s.GetIndex(), min(c.commit, c.lastIndex())))
 }
 
 // install takes a snapshot; entries after it are kept where the log agrees, since a quorum may count on them.
--- a/source/replicator/cluster_test.go
+++ b/source/replicator/cluster_test.go
@@ -75,7 +75,7 @@
 	s := &server{member: &wire.Member{Id: fmt.Sprintf("%s-disk%d", name, i), Name: name, Address: name}}
 
 	if bootstrap {
-		s.disk.Snapshot = replicator.Bootstrap("cluster", s.member, nil)
+		s.disk.Snapshot = replicator.Bootstrap("cluster", nil, s.member)
 		s.disk.HardState = &wire.HardState{Term: 1}
 	}
 
--- a/source/replicator/membership.go
+++ b/source/replicator/membership.go
@@ -85,12 +85,21 @@
 	}
 }
 
+// forgetAfter is how long a learner may be silent; it joins again by itself when it returns.
+const forgetAfter = tiller.Minute
+
 // maintainMembers takes at most one step: retire a replaced identity, demote a silent voter or promote a learner.
 func (c *Core) maintainMembers() {
 	if !c.canChangeMembers() {
 		return
 	}
 
+	if gone := c.silentMember(false, forgetAfter); gone != nil {
+		c.changeMembers(c.without(gone), "silent learner %s removed", gone.GetName())
+
+		return
+	}
+
 	learners := c.readyLearners()
 	if len(learners) == 0 {
 		return
@@ -104,7 +113,7 @@
 		}
 	}
 
-	if silent := c.silentVoter(); silent != nil {
+	if silent := c.silentMember(true, c.timing.replaceAfter); silent != nil {
 		c.changeMembers(c.withVoter(silent, false), "silent voter %s demoted", silent.GetName())
 
 		return
@@ -147,10 +156,11 @@
 	return nil
 }
 
-func (c *Core) silentVoter() *wire.Member {
+// silentMember returns a voter or a learner that has not answered for a span.
+func (c *Core) silentMember(voter bool, span tiller.Millis) *wire.Member {
 	for _, m := range c.members {
 		p := c.progress[m.GetId()]
-		if m.GetVoter() && m.GetId() != c.id && p != nil && p.heard < c.now-c.timing.replaceAfter {
+		if m.GetVoter() == voter && m.GetId() != c.id && p != nil && p.heard < c.now-span {
 			return m
 		}
 	}
--- a/source/replicator/replicator.go
+++ b/source/replicator/replicator.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"google.golang.org/protobuf/proto"
-
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -41,6 +39,7 @@
 		electionMinBeats = 6
 		electionMaxBeats = 12
 		leaseBeats       = 5
+		replaceBeats     = 20
 	)
 
 	return Timing{
@@ -48,7 +47,7 @@
 		electionMin:  electionMinBeats * heartbeat,
 		electionMax:  electionMaxBeats * heartbeat,
 		lease:        leaseBeats * heartbeat,
-		replaceAfter: 5 * tiller.Minute,
+		replaceAfter: replaceBeats * heartbeat,
 	}
 }
 
@@ -90,6 +89,10 @@
 	Messages []*wire.Envelope
 	// Events go to the time line.
 	Events []tiller.Event
+	// Confirmed are the tokens of confirmations that a quorum has answered.
+	Confirmed []uint64
+	// Unconfirmed are the tokens of confirmations that this controller cannot give.
+	Unconfirmed []uint64
 	// Proposed is the position of the proposal of this step, zero if it was refused.
 	Proposed uint64
 }
@@ -112,6 +115,11 @@
 	Data  []byte
 }
 
+// Confirm asks the leader to make sure by a round of messages that no other controller leads. Clocks play no part, so that
+// a controller that was suspended learns that it no longer leads. The token comes back in the effects.
+type Confirm struct{ Token uint64 }
+
+func (Confirm) event() {}
 func (Tick) event()    {}
 func (Receive) event() {}
 func (Propose) event() {}
@@ -119,6 +127,7 @@
 
 type progress struct {
 	match         uint64
+	round         uint64
 	next          uint64
 	acked         tiller.Millis
 	heard         tiller.Millis
@@ -153,6 +162,9 @@
 	membersIndex uint64
 	progress     map[string]*progress
 
+	round      uint64
+	confirming []confirmation
+
 	out          Effects
 	stateChanged bool
 }
@@ -177,16 +189,15 @@
 	return c
 }
 
-// Bootstrap returns the first snapshot of a new cluster whose only voter is the given member.
-func Bootstrap(cluster string, member *wire.Member, data []byte) *wire.Snapshot {
-	only, ok := proto.Clone(member).(*wire.Member)
-	if !ok {
-		return nil
+// Bootstrap returns the first snapshot of a new cluster with the given voters. Controllers that form a cluster together must
+// be given equal arguments.
+func Bootstrap(cluster string, data []byte, voters ...*wire.Member) *wire.Snapshot {
+	members := &wire.Members{}
+	for _, m := range voters {
+		members.Members = append(members.Members, &wire.Member{Id: m.GetId(), Name: m.GetName(), Address: m.GetAddress(), Voter: true})
 	}
 
-	only.Voter = true
-
-	return &wire.Snapshot{Index: 1, Term: 1, Members: &wire.Members{Members: []*wire.Member{only}}, Data: data, Cluster: cluster}
+	return &wire.Snapshot{Index: 1, Term: 1, Members: members, Data: data, Cluster: cluster}
 }
 
 // Step advances the protocol by one event and returns what the caller must do.
@@ -207,12 +218,15 @@
 		c.receive(e.Envelope)
 	case Propose:
 		c.propose(e.Data)
+	case Confirm:
+		c.confirm(e.Token)
 	case Compact:
 		c.compact(e.Index, e.Data)
 	}
 
 	c.advanceCommit()
 	c.deliver()
+	c.settleConfirmations()
 	c.sealRecord()
 
 	return c.out
--- a/verdict.go
+++ b/verdict.go
@@ -46,6 +46,7 @@
 	ReasonRequestTooLarge
 	ReasonCancelled
 	ReasonNotReady
+	ReasonRequestMalformed
 )
 
 // CallError is a refused or failed call.
