Queue by the time an answer keeps its worth and place by expected time

Change: the gate estimates wait and length by route, queues by priority, aim and latest start, and refuses at once what cannot be served in time; a trial with a quarter of the slots tells a full server from one that sheds anyway; placing compares expected times with the pace, load and failures that gates tell; a refusal that asked no server may be tried at two other gates.

--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -1,8 +1,9 @@
-// Package balancer chooses the worker for an attempt: nearest data centre first, two random choices by load, slow start
-// for cold workers and bounded ejection of failing ones.
+// Package balancer chooses the worker for an attempt: the cheapest of a few random choices by expected time, near data centres
+// first, with slow start for cold workers and bounded ejection of failing ones.
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 
@@ -10,11 +11,24 @@
 )
 
 const (
-	loadMaxAge       = tiller.Second
-	unreachableFor   = tiller.Second
-	slowStartFloor   = 0.1
-	percent          = 100
-	spillUtilisation = 1.0
+	loadMaxAge     = tiller.Second
+	unreachableFor = tiller.Second
+	slowStartFloor = 0.1
+	percent        = 100
+	// remotePenalty is by how much a worker of another data centre must be cheaper, for the bytes that cross.
+	remotePenalty = 1.3
+	// crowding is by how much a full worker is slower than an idle one.
+	crowding = 0.3
+	// failurePenalty is by how many times a worker that always fails is dearer.
+	failurePenalty = 4
+	failureWeight  = 16
+	// tolerated is the failure rate that says nothing yet.
+	tolerated = 0.2
+	// failureHalfLife is how fast failures are forgotten, in milliseconds, so that a worker which recovers is tried again.
+	failureHalfLife = 4000.0
+	paceWeight      = 64
+	defaultPace     = 100
+	choices         = 2
 	// coldShare is the part of its usual load that a server takes while it says that it is slow.
 	coldShare = 0.5
 	// maxColdLeft tells a cold server from one whose node's clock is ahead.
@@ -43,11 +57,27 @@
 // Backend returns the worker's backend server.
 func (c Candidate) Backend() tiller.Backend { return c.backend }
 
+// Load is what a worker's gate tells of itself.
+type Load struct {
+	waiting int
+	limit   int
+	pace    tiller.Millis
+}
+
+// NewLoad returns a load of requests that run or wait, the number that may run at once, and how long one takes; a pace of zero
+// means that it is not known.
+func NewLoad(requests, limit int, pace tiller.Millis) Load {
+	return Load{waiting: requests, limit: limit, pace: pace}
+}
+
 type observation struct {
-	inFlight      int
-	reported      int
-	limit         int
-	reportedAt    tiller.Millis
+	inFlight int
+	load     Load
+	loadAt   tiller.Millis
+	// sent counts the requests sent since the load was told.
+	sent          int
+	failureRate   float64
+	failureAt     tiller.Millis
 	failures      int
 	ejectedUntil  tiller.Millis
 	unreachableTo tiller.Millis
@@ -59,6 +89,8 @@
 	dataCentre tiller.DataCentre
 	random     *rand.Rand
 	seen       map[tiller.Worker]*observation
+	// pace is the mean over the workers that tell theirs.
+	pace float64
 }
 
 // New returns a balancer for a node of the given data centre.
@@ -73,17 +105,14 @@
 
 	local, remote := b.usable(now, candidates, tried, p)
 
-	first, load := b.twoChoices(now, local, p)
-	if _, ok := first.Get(); ok && load < spillUtilisation {
-		return b.take(first)
-	}
+	near, nearCost := b.cheapest(now, local, p)
+	far, farCost := b.cheapest(now, remote, p)
 
-	second, otherLoad := b.twoChoices(now, remote, p)
-	if _, ok := first.Get(); ok && (otherLoad >= spillUtilisation || len(remote) == 0) {
-		return b.take(first)
+	if len(local) == 0 || (len(remote) > 0 && farCost*remotePenalty < nearCost) {
+		return b.take(far)
 	}
 
-	return b.take(second)
+	return b.take(near)
 }
 
 // usable splits the candidates that may take work by locality.
@@ -129,36 +158,49 @@
 	return out
 }
 
-func (b *Balancer) twoChoices(now tiller.Millis, candidates []Candidate, p Policy) (tiller.Option[tiller.Backend], float64) {
+// cheapest returns the cheapest of a few candidates chosen at random, with its cost.
+func (b *Balancer) cheapest(now tiller.Millis, candidates []Candidate, p Policy) (tiller.Option[tiller.Backend], float64) {
 	if len(candidates) == 0 {
 		return tiller.None[tiller.Backend](), 0
 	}
 
-	i := b.random.IntN(len(candidates))
-	best, load := candidates[i], b.utilisation(now, candidates[i], p)
+	b.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+
+	best, cost := candidates[0], b.cost(now, candidates[0], p)
 
-	if len(candidates) > 1 {
-		j := (i + 1 + b.random.IntN(len(candidates)-1)) % len(candidates)
-		if other := b.utilisation(now, candidates[j], p); other < load {
-			best, load = candidates[j], other
+	for _, c := range candidates[1:min(choices, len(candidates))] {
+		if other := b.cost(now, c, p); other < cost {
+			best, cost = c, other
 		}
 	}
 
-	return tiller.Some(best.backend), load
+	return tiller.Some(best.backend), cost
 }
 
-// utilisation is the worker's load relative to what it may take now.
-func (b *Balancer) utilisation(now tiller.Millis, c Candidate, p Policy) float64 {
+// cost estimates how long a request would take at a worker in milliseconds: a full worker makes it wait, and one that fails
+// makes it come back.
+func (b *Balancer) cost(now tiller.Millis, c Candidate, p Policy) float64 {
 	o := b.observe(c.backend.Worker())
 	load := o.inFlight
 	capacity := max(c.backend.Slots(), 1)
+	pace := b.pace
 
-	if now < o.reportedAt+loadMaxAge {
-		load = max(load, o.reported)
-		capacity = max(min(capacity, o.limit), 1)
+	if now < o.loadAt+loadMaxAge {
+		load = max(load, o.load.waiting+o.sent)
+		capacity = max(min(capacity, o.load.limit), 1)
 	}
 
-	return float64(load+1) / (float64(capacity+1) * c.share * warmth(now, c, p))
+	if o.load.pace > 0 {
+		pace = float64(o.load.pace)
+	}
+
+	if pace == 0 {
+		pace = defaultPace
+	}
+
+	used := float64(load+1) / (float64(capacity+1) * c.share * warmth(now, c, p))
+
+	return pace * (1 + crowding*min(used, 1) + max(used-1, 0)) * (1 + failurePenalty*max(o.failing(now)-tolerated, 0))
 }
 
 // warmth grows from a small share to one over the slow start. A ready time ahead of this node's clock counts as long ago.
@@ -193,7 +235,9 @@
 
 func (b *Balancer) take(choice tiller.Option[tiller.Backend]) tiller.Option[tiller.Backend] {
 	if backend, ok := choice.Get(); ok {
-		b.seen[backend.Worker()].inFlight++
+		o := b.seen[backend.Worker()]
+		o.inFlight++
+		o.sent++
 	}
 
 	return choice
@@ -206,6 +250,7 @@
 
 	o := b.observe(w)
 	o.inFlight = max(o.inFlight-1, 0)
+	o.noteFailure(now, err)
 
 	switch {
 	case err == nil:
@@ -222,15 +267,40 @@
 	}
 }
 
-// Report notes the load that a worker's node told with an answer.
-func (b *Balancer) Report(now tiller.Millis, w tiller.Worker, load, limit int) {
+// noteFailure averages how often a worker fails; a gate that has no room has not failed.
+func (o *observation) noteFailure(now tiller.Millis, err *tiller.CallError) {
+	sample := 0.0
+	if err != nil && !err.Untried() && err.Reason() != tiller.ReasonDraining && err.Reason() != tiller.ReasonCancelled {
+		sample = 1
+	}
+
+	o.failureRate = o.failing(now)
+	o.failureRate += (sample - o.failureRate) / failureWeight
+	o.failureAt = now
+}
+
+// failing returns the failure rate now.
+func (o *observation) failing(now tiller.Millis) float64 {
+	return o.failureRate * math.Exp2(-float64(max(now-o.failureAt, 0))/failureHalfLife)
+}
+
+// Report notes the load that a worker's gate told.
+func (b *Balancer) Report(now tiller.Millis, w tiller.Worker, load Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	o := b.observe(w)
-	o.reported = load
-	o.limit = limit
-	o.reportedAt = now
+	o.load = load
+	o.loadAt = now
+	o.sent = 0
+
+	if load.pace > 0 {
+		if b.pace == 0 {
+			b.pace = float64(load.pace)
+		}
+
+		b.pace += (float64(load.pace) - b.pace) / paceWeight
+	}
 }
 
 // Forget drops what was seen of workers that are no longer known.
--- a/calls/forwarder/answer.go
+++ b/calls/forwarder/answer.go
@@ -47,9 +47,14 @@
 		return tiller.NewCallError(tiller.VerdictMayHaveRun, tiller.ReasonBackendFailed, "another node sent a refusal that cannot be read")
 	}
 
-	return tiller.NewCallError(parseVerdict(a.header.Get(HeaderVerdict)), reason, body.Detail).
+	refusal := tiller.NewCallError(parseVerdict(a.header.Get(HeaderVerdict)), reason, body.Detail).
 		WithRetryAfter(tiller.Millis(body.RetryAfterMs)).WithRetries(retriesSpent(a.header)).
 		WithStrikes(int(headerInt(a.header, HeaderStrikes, 0)))
+	if body.Untried {
+		refusal = refusal.WithUntried()
+	}
+
+	return refusal
 }
 
 // release runs when the answer has been passed on.
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -11,6 +11,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
@@ -113,6 +114,7 @@
 	q := f.newRequest(r, route, terms, body)
 	q.service = service
 	q.deadline = deadline
+	q.aim = f.aimOf(route, terms, deadline-left)
 
 	attempts := int(settings.Value(tiller.SettingAttempts))
 	if route.MaxAttempts() > 0 {
@@ -149,6 +151,21 @@
 	return max(0, min(limit, terms.TimeLeft().OrElse(limit)))
 }
 
+// aimOf returns by when an answer has its full worth, zero for routes that state no target latency. The time that earlier sends
+// of the call have used counts: callers of a route start with equal deadlines, so that a shorter one tells how much.
+func (f *Forwarder) aimOf(route tiller.Route, terms tiller.CallTerms, now tiller.Millis) tiller.Millis {
+	if route.TargetLatency() == 0 {
+		return 0
+	}
+
+	left, stated := terms.TimeLeft().Get()
+	if !stated {
+		return now + route.TargetLatency()
+	}
+
+	return max(now+route.TargetLatency()-(f.patience.longest(now, route.Name(), left)-left), 1)
+}
+
 // fromWorker reports whether the caller runs on this node's VM.
 func (f *Forwarder) fromWorker(r *http.Request) bool {
 	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
@@ -171,6 +188,10 @@
 	var last *tiller.CallError
 
 	for {
+		if c.request.service == f.Service {
+			f.Balancer.Report(f.Clock.Now(), f.Name, balancer.NewLoad(f.Gate.Load()))
+		}
+
 		backend, ok := f.Balancer.Pick(f.Clock.Now(), c.table.Candidates(c.request.service), tried, policyOf(c.settings)).Get()
 		if !ok {
 			return nil, noWorker(c, last)
@@ -256,7 +277,8 @@
 	}
 
 	h := answer.header
-	f.Balancer.Report(f.Clock.Now(), backend.Worker(), int(headerInt(h, HeaderLoad, 0)), int(headerInt(h, HeaderLimit, 1)))
+	f.Balancer.Report(f.Clock.Now(), backend.Worker(), balancer.NewLoad(
+		int(headerInt(h, HeaderLoad, 0)), int(headerInt(h, HeaderLimit, 1)), tiller.Millis(headerInt(h, HeaderPace, 0))))
 
 	return f.checkHop(q, answer)
 }
@@ -306,6 +328,10 @@
 	setInt(h, HeaderDeadline, int64(max(q.deadline-now, 0)))
 	setInt(h, HeaderRetriesLeft, int64(q.chainLeft))
 
+	if q.aim > 0 {
+		setInt(h, HeaderAim, int64(q.aim-now))
+	}
+
 	if q.strikes > 0 {
 		setInt(h, HeaderStrikes, int64(q.strikes))
 	}
--- a/calls/forwarder/dialect.go
+++ b/calls/forwarder/dialect.go
@@ -73,6 +73,8 @@
 	Reason       string `json:"reason"`
 	Detail       string `json:"detail"`
 	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	// Untried says that no backend server was asked.
+	Untried bool `json:"untried,omitempty"`
 }
 
 var statusByReason = map[tiller.Reason]int{
@@ -102,6 +104,7 @@
 func (Dialect) Refuse(err *tiller.CallError, home tiller.DataCentre) tiller.Refusal {
 	body, marshalErr := json.Marshal(refusalBody{
 		Verdict: err.Verdict().String(), Reason: err.Reason().String(), Detail: err.Detail(), RetryAfterMs: int64(err.RetryAfter()),
+		Untried: err.Untried(),
 	})
 	if marshalErr != nil {
 		body = nil
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -96,6 +96,7 @@
 	refused  metrics.Counter
 	retried  metrics.Counter
 	log      callLog
+	patience *patience
 }
 
 var _ http.Handler = (*Forwarder)(nil)
@@ -103,12 +104,13 @@
 // New returns a forwarder.
 func New(options Options) *Forwarder {
 	return &Forwarder{
-		Options: options,
-		latency: metrics.GetOrRegisterTimer("calls.latency", options.Metrics),
-		served:  metrics.GetOrRegisterCounter("calls.served", options.Metrics),
-		refused: metrics.GetOrRegisterCounter("calls.refused", options.Metrics),
-		retried: metrics.GetOrRegisterCounter("calls.retried", options.Metrics),
-		log:     callLog{log: options.Log, clock: options.Clock},
+		Options:  options,
+		latency:  metrics.GetOrRegisterTimer("calls.latency", options.Metrics),
+		served:   metrics.GetOrRegisterCounter("calls.served", options.Metrics),
+		refused:  metrics.GetOrRegisterCounter("calls.refused", options.Metrics),
+		retried:  metrics.GetOrRegisterCounter("calls.retried", options.Metrics),
+		patience: newPatience(),
+		log:      callLog{log: options.Log, clock: options.Clock},
 	}
 }
 
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -36,13 +36,14 @@
 }
 
 func (f *Forwarder) writeHop(w http.ResponseWriter, attempt string, a *Answer) {
-	load, limit := f.Gate.Load()
+	load, limit, pace := f.Gate.Load()
 	a.header = a.header.Clone()
 	h := a.header
 	h.Set(HeaderAttempt, attempt)
 	h.Set(HeaderLength, strconv.Itoa(len(a.body)))
 	setInt(h, HeaderLoad, int64(load))
 	setInt(h, HeaderLimit, int64(limit))
+	setInt(h, HeaderPace, int64(pace))
 
 	if a.worker != "" {
 		h.Set(HeaderWorker, string(a.worker))
@@ -79,13 +80,26 @@
 	return &request{
 		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), body: body,
 		route: r.Header.Get(HeaderRoute), service: f.Service, origin: tiller.Service(r.Header.Get(HeaderOrigin)),
-		priority: int(headerInt(r.Header, HeaderPriority, 0)), atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", deadline: deadline,
+		priority: int(headerInt(r.Header, HeaderPriority, 0)), aim: aimFrom(f.Clock.Now(), r.Header), atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", deadline: deadline,
 		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
 		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
 		digest: quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.kept),
 	}, nil
 }
 
+// aimFrom reads by when an answer has its full worth, zero if the sender does not tell.
+func aimFrom(now tiller.Millis, h http.Header) tiller.Millis {
+	if h.Get(HeaderAim) == "" {
+		return 0
+	}
+
+	return now + tiller.Millis(headerInt(h, HeaderAim, 0))
+}
+
+func (q *request) demand() limiter.Demand {
+	return limiter.NewDemand(q.priority, q.deadline).WithAim(q.aim).WithKind(q.route)
+}
+
 // admit runs the request on this worker's backend server, or refuses it. The slot is held until the answer is passed on.
 func (f *Forwarder) admit(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
 	target, err := f.ready()
@@ -95,7 +109,7 @@
 
 	own := f.Table.Load().Own()
 
-	slot, err := f.Gate.Acquire(ctx, q.priority, q.deadline)
+	slot, err := f.Gate.Acquire(ctx, q.demand())
 	if err != nil {
 		return nil, err
 	}
--- a/calls/forwarder/header.go
+++ b/calls/forwarder/header.go
@@ -43,6 +43,8 @@
 	HeaderOrigin = "Tiller-Origin"
 	// HeaderPriority carries the rank of a call between nodes.
 	HeaderPriority = "Tiller-Priority"
+	// HeaderAim carries the milliseconds in which an answer has its full worth between nodes; it may be negative.
+	HeaderAim = "Tiller-Aim-Ms"
 	// HeaderRoute names the route between nodes.
 	HeaderRoute = "Tiller-Route"
 	// HeaderStrikes carries the known crashes of a request between nodes, both ways.
@@ -53,6 +55,8 @@
 	HeaderLoad = "Tiller-Load"
 	// HeaderLimit carries the limit of the worker on the way back between nodes.
 	HeaderLimit = "Tiller-Limit"
+	// HeaderPace carries the milliseconds that a request takes at the worker on the way back between nodes.
+	HeaderPace = "Tiller-Pace-Ms"
 	// HeaderLength repeats the length of the whole answer between nodes.
 	HeaderLength = "Tiller-Length"
 )
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -40,7 +40,7 @@
 	q := c.request
 
 	return []any{
-		"id", q.id, "cause", q.cause, "route", q.route, "service", string(q.service), "version", c.table.Version().String(),
+		"id", q.id, "cause", q.cause, "priority", q.priority, "route", q.route, "service", string(q.service), "version", c.table.Version().String(),
 		"time_left_ms", int64(q.deadline - l.clock.Now()),
 	}
 }
--- a/calls/forwarder/request.go
+++ b/calls/forwarder/request.go
@@ -23,15 +23,17 @@
 
 // request is what travels to a gate.
 type request struct {
-	method     string
-	target     string
-	host       string
-	header     http.Header
-	body       *payload
-	route      string
-	service    tiller.Service
-	origin     tiller.Service
-	priority   int
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     *payload
+	route    string
+	service  tiller.Service
+	origin   tiller.Service
+	priority int
+	// aim is when an answer loses a part of its worth, zero if unknown.
+	aim        tiller.Millis
 	atMostOnce bool
 	deadline   tiller.Millis
 	id         string
--- a/calls/limiter/gate.go
+++ b/calls/limiter/gate.go
@@ -26,11 +26,11 @@
 }
 
 // Acquire waits for a slot until the context ends; a refusal is not run.
-func (g *Gate) Acquire(ctx context.Context, priority int, deadline tiller.Millis) (*Slot, *tiller.CallError) {
+func (g *Gate) Acquire(ctx context.Context, d Demand) (*Slot, *tiller.CallError) {
 	granted := make(chan *tiller.CallError, 1)
 
 	g.mu.Lock()
-	ticket := g.core.Acquire(g.clock.Now(), priority, deadline, func(err *tiller.CallError) { granted <- err })
+	ticket := g.core.Acquire(g.clock.Now(), d, func(err *tiller.CallError) { granted <- err })
 	g.mu.Unlock()
 
 	select {
@@ -79,10 +79,10 @@
 	g.Do(func(c *Core) { c.Tick(g.clock.Now()) })
 }
 
-// Load returns the number of requests that run or wait, and the limit.
-func (g *Gate) Load() (load, limit int) {
+// Load returns the number of requests that run or wait, the limit, and how long requests take.
+func (g *Gate) Load() (load, limit int, pace tiller.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	return g.core.InFlight() + g.core.Waiting(), g.core.Limit()
+	return g.core.InFlight() + g.core.Waiting(), g.core.Limit(), g.core.Pace()
 }
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -1,5 +1,6 @@
-// Package limiter decides which requests may run on one backend server: it holds the server's slots, adapts when the
-// stated slots mislead, and keeps a bounded queue by priority and deadline.
+// Package limiter decides which requests may run on one backend server: it holds the server's slots, adapts when the stated
+// slots mislead, and keeps a bounded queue by priority and time left. It answers overload: what cannot be answered in time is
+// refused at once, so that the slots go to requests whose answers still have their full worth.
 package limiter
 
 import (
@@ -9,20 +10,18 @@
 )
 
 const (
+	// serviceTimeWeight and paceWeight are how many requests the moving averages span.
 	serviceTimeWeight = 8
+	paceWeight        = 64
 	probeEvery        = 16
 	minLimit          = 1
+	maxKinds          = 256
+	// spread allows for requests that take longer than the mean of their kind.
+	spread = 1.3
+	// lateShare is the part of the time left that a request may wait once it cannot be answered in time any more.
+	lateShare = 0.35
 )
 
-// Ticket is a request that holds or awaits a slot.
-type Ticket struct {
-	priority int
-	deadline tiller.Millis
-	queued   tiller.Millis
-	started  tiller.Millis
-	grant    func(*tiller.CallError)
-}
-
 // Options bound the queue.
 type Options struct {
 	Slots        int
@@ -32,18 +31,22 @@
 
 // Core holds the slots of one backend server. It is not safe for concurrent use.
 type Core struct {
-	options     Options
-	limit       int
-	successes   int
-	inFlight    int
-	queue       []*Ticket
-	serviceTime tiller.Millis
+	options   Options
+	limit     int
+	successes int
+	inFlight  int
+	queue     []*Ticket
+	// serviceTime is the moving average over all requests, pace a slower one to compare servers by.
+	serviceTime float64
+	pace        float64
+	kinds       map[string]float64
+	sizer       sizer
 	shed        int64
 }
 
 // New returns a core with all slots free.
 func New(options Options) *Core {
-	c := &Core{}
+	c := &Core{kinds: map[string]float64{}}
 	c.Configure(options)
 
 	return c
@@ -58,62 +61,120 @@
 	c.options = options
 }
 
+const maxDeadline = 10 * tiller.Minute
+
 // Acquire asks for a slot. The grant function is called once, now or later, with nil or with a refusal that is not run.
-func (c *Core) Acquire(now tiller.Millis, priority int, deadline tiller.Millis, grant func(*tiller.CallError)) *Ticket {
-	t := &Ticket{priority: priority, deadline: min(deadline, now+maxDeadline), queued: now, grant: grant}
+func (c *Core) Acquire(now tiller.Millis, d Demand, grant func(*tiller.CallError)) *Ticket {
+	d.deadline = min(d.deadline, now+maxDeadline)
+	t := &Ticket{demand: d, queued: now, grant: grant}
 
 	switch {
 	case c.options.Slots == 0:
 		grant(refusal(tiller.ReasonNoBackend, "the worker has no slots"))
-	case c.inFlight < c.limit && !c.awaitsBefore(priority):
+	case c.inFlight < c.limit && len(c.queue) == 0:
 		c.start(now, t)
-	case now+c.expectedWait(priority)+c.serviceTime > t.deadline:
-		c.refuse(t, tiller.ReasonOverload, "the queue is too long for the deadline")
 	default:
-		c.enqueue(t)
+		c.admit(now, t)
 	}
 
 	return t
 }
 
-const maxDeadline = 10 * tiller.Minute
-
 func refusal(reason tiller.Reason, detail string) *tiller.CallError {
-	return tiller.NewCallError(tiller.VerdictNotRun, reason, detail)
+	return tiller.NewCallError(tiller.VerdictNotRun, reason, detail).WithUntried()
 }
 
 func (c *Core) refuse(t *Ticket, reason tiller.Reason, detail string) {
 	c.shed++
 
-	t.grant(refusal(reason, detail).WithRetryAfter(c.serviceTime + c.expectedWait(t.priority)))
+	t.grant(refusal(reason, detail).WithRetryAfter(tiller.Millis(c.serviceTime) + c.backlog()))
 }
 
 func (c *Core) start(now tiller.Millis, t *Ticket) {
 	c.inFlight++
 	t.started = now
+	t.crowd = c.inFlight
 	t.grant(nil)
 }
 
-func (c *Core) awaitsBefore(priority int) bool {
-	return len(c.queue) > 0 && c.queue[0].priority <= priority
+// expected returns how long a request takes once it has a slot.
+func (c *Core) expected(d Demand) float64 {
+	if known, ok := c.kinds[d.kind]; ok {
+		return known
+	}
+
+	return c.serviceTime
 }
 
-// expectedWait estimates the time until a request of the priority would get a slot.
-func (c *Core) expectedWait(priority int) tiller.Millis {
-	ahead := 0
+// startBy returns the latest start for an answer in time; requests without an aim keep the order of their arrival.
+func (c *Core) startBy(t *Ticket) tiller.Millis {
+	if t.demand.aim == 0 {
+		return t.queued
+	}
 
+	return t.demand.aim - tiller.Millis(spread*c.expected(t.demand))
+}
+
+// wait estimates the time until a slot is free after the given work in milliseconds.
+func (c *Core) wait(work float64) tiller.Millis {
+	slots := float64(max(c.limit, minLimit))
+
+	return tiller.Millis(c.serviceTime/(slots+1) + work/slots)
+}
+
+// backlog estimates the time until everything that waits has started.
+func (c *Core) backlog() tiller.Millis {
+	work := 0.0
 	for _, t := range c.queue {
-		if t.priority <= priority {
-			ahead++
+		work += c.expected(t.demand)
+	}
+
+	return c.wait(work)
+}
+
+// admit queues a request if it can be answered in time, or soon after; otherwise it refuses at once.
+func (c *Core) admit(now tiller.Millis, t *Ticket) {
+	wait := c.wait(c.workBefore(t))
+
+	if t.demand.aim > 0 && now+wait > c.startBy(t) {
+		t.late = true
+		wait = c.wait(c.workBefore(t))
+	}
+
+	took := tiller.Millis(c.expected(t.demand))
+	patience := t.demand.deadline - now
+
+	if t.late {
+		patience = tiller.Millis(lateShare * float64(patience-took))
+	} else {
+		patience -= took
+	}
+
+	if wait > patience {
+		c.refuse(t, tiller.ReasonOverload, "the queue is too long for the time left")
+
+		return
+	}
+
+	c.enqueue(t)
+}
+
+// workBefore returns the expected work of the requests that would run before one, in milliseconds.
+func (c *Core) workBefore(t *Ticket) float64 {
+	work := 0.0
+
+	for _, o := range c.queue {
+		if o.before(t, c.startBy) <= 0 {
+			work += c.expected(o.demand)
 		}
 	}
 
-	return c.serviceTime * tiller.Millis(ahead) / tiller.Millis(max(c.limit, minLimit))
+	return work
 }
 
-// enqueue inserts by priority; a full queue drops the newest request of the last priority.
+// enqueue inserts a request in its order; a full queue drops the last one.
 func (c *Core) enqueue(t *Ticket) {
-	i := slices.IndexFunc(c.queue, func(o *Ticket) bool { return o.priority > t.priority })
+	i := slices.IndexFunc(c.queue, func(o *Ticket) bool { return o.before(t, c.startBy) > 0 })
 	if i < 0 {
 		i = len(c.queue)
 	}
@@ -143,58 +204,101 @@
 // Release returns a slot and starts waiting requests.
 func (c *Core) Release(now tiller.Millis, t *Ticket, outcome Outcome) {
 	c.inFlight--
-	c.adapt(now-t.started, outcome)
+	c.adapt(now, t, outcome)
 	c.Tick(now)
 }
 
-// adapt lowers the limit when the server sheds below its stated slots, and probes upwards after successes.
-func (c *Core) adapt(took tiller.Millis, outcome Outcome) {
-	switch outcome {
-	case OutcomeServed:
-		c.serviceTime += (took - c.serviceTime) / serviceTimeWeight
-		if c.serviceTime == 0 && took > 0 {
-			c.serviceTime = 1
-		}
-
-		c.successes++
+// adapt learns how long requests take, lowers the limit when the server sheds for being full, and probes upwards after
+// successes.
+func (c *Core) adapt(now tiller.Millis, t *Ticket, outcome Outcome) {
+	before := c.limit
+	c.limit = min(c.sizer.note(now, outcome == OutcomeShed, t.crowd >= c.limit, c.limit, c.options.Slots), c.options.Slots)
 
-		if c.successes >= probeEvery && c.limit < c.options.Slots {
-			c.limit++
-			c.successes = 0
-		}
-	case OutcomeShed:
-		c.limit = max(c.limit-1, minLimit)
+	if outcome != OutcomeServed || c.limit != before {
 		c.successes = 0
-	case OutcomeFailed:
+	}
+
+	if outcome != OutcomeServed {
+		return
+	}
+
+	c.learn(t.demand.kind, float64(max(now-t.started, 1)))
+
+	c.successes++
+
+	if c.successes >= probeEvery && c.limit < c.options.Slots && !c.sizer.trying {
+		c.limit++
 		c.successes = 0
 	}
+
+	if c.limit == c.options.Slots {
+		c.sizer.grown()
+	}
+}
+
+func (c *Core) learn(kind string, took float64) {
+	c.serviceTime = average(c.serviceTime, took, serviceTimeWeight)
+	c.pace = average(c.pace, took, paceWeight)
+
+	if _, known := c.kinds[kind]; known || len(c.kinds) < maxKinds {
+		c.kinds[kind] = average(c.kinds[kind], took, serviceTimeWeight)
+	}
+}
+
+// average moves a mean towards a sample; the first sample is taken as it is.
+func average(mean, sample, weight float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+
+	return mean + (sample-mean)/weight
 }
 
 // Tick refuses requests that waited too long and starts others on free slots.
 func (c *Core) Tick(now tiller.Millis) {
-	expired := func(t *Ticket) bool {
-		return now+c.serviceTime/2 >= t.deadline || now >= t.queued+c.options.QueueTimeout
+	for c.order(now); c.inFlight < c.limit && len(c.queue) > 0; {
+		t := c.queue[0]
+		c.queue = c.queue[1:]
+		c.start(now, t)
+	}
+}
+
+// order drops the waiting requests that can no longer be served and sorts the others.
+func (c *Core) order(now tiller.Millis) {
+	if len(c.queue) == 0 {
+		return
 	}
 
-	var late []*Ticket
+	for _, t := range c.queue {
+		t.late = t.late || (t.demand.aim > 0 && now > c.startBy(t))
+	}
+
+	slices.SortStableFunc(c.queue, func(a, b *Ticket) int { return a.before(b, c.startBy) })
+
+	var expired []*Ticket
 
 	c.queue = slices.DeleteFunc(c.queue, func(t *Ticket) bool {
-		if expired(t) {
-			late = append(late, t)
+		if c.expired(now, t) {
+			expired = append(expired, t)
+
+			return true
 		}
 
-		return expired(t)
+		return false
 	})
 
-	for _, t := range late {
+	for _, t := range expired {
 		c.refuse(t, tiller.ReasonDeadline, "no slot became free in time")
 	}
+}
 
-	for c.inFlight < c.limit && len(c.queue) > 0 {
-		t := c.queue[0]
-		c.queue = c.queue[1:]
-		c.start(now, t)
+func (c *Core) expired(now tiller.Millis, t *Ticket) bool {
+	patience := t.demand.deadline - t.queued
+	if t.late {
+		patience = tiller.Millis(lateShare * float64(patience))
 	}
+
+	return now+tiller.Millis(c.expected(t.demand)/2) >= t.demand.deadline || now >= t.queued+min(patience, c.options.QueueTimeout)
 }
 
 // Cancel withdraws a waiting request and reports whether it was still waiting.
@@ -230,3 +334,6 @@
 
 // Shed returns how many requests were refused.
 func (c *Core) Shed() int64 { return c.shed }
+
+// Pace returns how long requests take on this server, averaged over the last few dozen; zero before the first.
+func (c *Core) Pace() tiller.Millis { return tiller.Millis(c.pace) }
--- a/calls/retrier/retrier.go
+++ b/calls/retrier/retrier.go
@@ -12,6 +12,8 @@
 	milliPerPercent = milliPerRetry / 100
 	maxSavedRetries = 20
 	minSavedRetries = 3
+	// maxUntried bounds the further gates that one call asks after refusals that cost no server anything.
+	maxUntried = 2
 )
 
 // Budget saves a share of a retry with each call and spends a whole one with each retry. It is safe for concurrent use.
@@ -54,6 +56,7 @@
 	made       int
 	chainLeft  int
 	spent      int
+	untried    int
 	budget     *Budget
 }
 
@@ -79,7 +82,19 @@
 
 // Retry reports whether another attempt may be made after an error, and charges it.
 func (c *Call) Retry(err *tiller.CallError) bool {
-	if !c.repeatable(err) || c.made >= c.attempts {
+	if !c.repeatable(err) {
+		return false
+	}
+
+	// A gate that refuses by itself has asked no server: another one may have room.
+	if err.Untried() && err.Verdict() == tiller.VerdictNotRun && c.untried < maxUntried {
+		c.untried++
+		c.made--
+
+		return true
+	}
+
+	if c.made >= c.attempts {
 		return false
 	}
 
--- a/verdict.go
+++ b/verdict.go
@@ -57,6 +57,7 @@
 	retryAfter Millis
 	retries    int
 	strikes    int
+	untried    bool
 }
 
 // NewCallError returns an error with the verdict on the request.
@@ -88,6 +89,14 @@
 	return &c
 }
 
+// WithUntried returns a copy that says that no backend server was asked.
+func (e *CallError) WithUntried() *CallError {
+	c := *e
+	c.untried = true
+
+	return &c
+}
+
 // Error formats the refusal.
 func (e *CallError) Error() string {
 	return fmt.Sprintf("%s (%s): %s", e.reason, e.verdict, e.detail)
@@ -111,6 +120,9 @@
 // Strikes returns how many backend servers the request is known to have crashed.
 func (e *CallError) Strikes() int { return e.strikes }
 
+// Untried reports whether the call was refused before any backend server was asked.
+func (e *CallError) Untried() bool { return e.untried }
+
 // VerdictOf returns the verdict that an error carries; an unknown error may have run.
 func VerdictOf(err error) Verdict {
 	if e, ok := errors.AsType[*CallError](err); ok {
