Stay near while the answer still comes in time; keep unchanged entries still

Cause: each browse answer that crossed a data centre cost about 15% of its credit in bytes, more than the few that a slow near worker makes late; and an announcement without cold time moved cold_until each time, so that every heartbeat of every worker spread through the membership (20 to 30 KB a second a node, 5 after). Change: a near worker is taken while its expected time is within 0.7 of the time left to the target latency; cold_until only moves with the first announcement of a start.

--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -41,6 +41,8 @@
 	EjectAfterFailures int
 	EjectFor           tiller.Millis
 	MaxEjectedPercent  int
+	// Comfort is the expected time up to which a near worker is good enough, zero if unknown.
+	Comfort tiller.Millis
 }
 
 // Candidate is a worker with its share of traffic.
@@ -108,7 +110,8 @@
 	near, nearCost := b.cheapest(now, local, p)
 	far, farCost := b.cheapest(now, remote, p)
 
-	if len(local) == 0 || (len(remote) > 0 && farCost*remotePenalty < nearCost) {
+	comfortable := nearCost <= float64(p.Comfort)
+	if len(local) == 0 || (len(remote) > 0 && !comfortable && farCost*remotePenalty < nearCost) {
 		return b.take(far)
 	}
 
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -192,7 +192,7 @@
 			f.Balancer.Report(f.Clock.Now(), f.Name, balancer.NewLoad(f.Gate.Load()))
 		}
 
-		backend, ok := f.Balancer.Pick(f.Clock.Now(), c.table.Candidates(c.request.service), tried, policyOf(c.settings)).Get()
+		backend, ok := f.Balancer.Pick(f.Clock.Now(), c.table.Candidates(c.request.service), tried, f.placing(c)).Get()
 		if !ok {
 			return nil, noWorker(c, last)
 		}
@@ -219,6 +219,20 @@
 	}
 }
 
+// comfortShare is the part of the time left for an answer of full worth that a near worker may take; bytes between data centres
+// cost more than the few answers that come late by it.
+const comfortShare = 0.7
+
+// placing returns the policy for the next attempt of a call.
+func (f *Forwarder) placing(c *call) balancer.Policy {
+	p := policyOf(c.settings)
+	if c.request.aim > 0 {
+		p.Comfort = tiller.Millis(comfortShare * float64(c.request.aim-f.Clock.Now()))
+	}
+
+	return p
+}
+
 // moreSevere keeps the verdict that some attempt may have run.
 func moreSevere(last, err *tiller.CallError) *tiller.CallError {
 	if last != nil && last.Verdict() == tiller.VerdictMayHaveRun && err.Verdict() == tiller.VerdictNotRun {
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -80,8 +80,9 @@
 	return &request{
 		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), body: body,
 		route: r.Header.Get(HeaderRoute), service: f.Service, origin: tiller.Service(r.Header.Get(HeaderOrigin)),
-		priority: int(headerInt(r.Header, HeaderPriority, 0)), aim: aimFrom(f.Clock.Now(), r.Header), atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", deadline: deadline,
-		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
+		priority: int(headerInt(r.Header, HeaderPriority, 0)), aim: aimFrom(f.Clock.Now(), r.Header), deadline: deadline,
+		atMostOnce: r.Header.Get(HeaderAtMostOnce) != "",
+		id:         terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
 		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
 		digest: quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.kept),
 	}, nil
--- a/calls/limiter/limiter_test.go
+++ b/calls/limiter/limiter_test.go
@@ -172,7 +172,7 @@
 
 // TestLimitFollowsAServerThatOverstatesItsSlots offers more than the server really takes: it sheds what goes beyond.
 func TestLimitFollowsAServerThatOverstatesItsSlots(t *testing.T) {
-	const real = 8
+	const taken = 8
 
 	b := newBench(limiter.Options{Slots: 20, QueueLength: 40, QueueTimeout: 1000})
 
@@ -192,8 +192,8 @@
 		}
 	}
 
-	load(200, real)
-	require.InDelta(t, real, b.core.Limit(), 2)
+	load(200, taken)
+	require.InDelta(t, taken, b.core.Limit(), 2)
 
 	load(2000, 100)
 	require.Equal(t, 20, b.core.Limit(), "the limit recovers with the server")
--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -102,12 +102,11 @@
 	}
 
 	fresh := !c.sameStart(a)
-	if fresh || a.ColdMs == 0 {
-		c.coldUntil = now + tiller.Millis(a.ColdMs)
-	}
-
 	if fresh {
+		c.coldUntil = now + tiller.Millis(a.ColdMs)
 		c.refused = false
+	} else if a.ColdMs == 0 {
+		c.coldUntil = min(c.coldUntil, now)
 	}
 
 	c.setState(now, state, fresh)
--- a/membership/registrar/registrar_test.go
+++ b/membership/registrar/registrar_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -54,3 +55,104 @@
 	require.NotEmpty(t, c.Announce(registrar.Lease, bad))
 	require.Equal(t, 10, c.Backend(registrar.Lease+1).Slots, "a bad announcement changes nothing")
 }
+
+func start(instance string, born int64, sequence uint64, state string) registrar.Announcement {
+	a := valid()
+	a.Instance, a.Born, a.Sequence, a.State = instance, born, sequence, state
+
+	return a
+}
+
+func TestOvertakenAnnouncements(t *testing.T) {
+	const (
+		ready    = wire.BackendState_BACKEND_STATE_READY
+		draining = wire.BackendState_BACKEND_STATE_DRAINING
+	)
+
+	cases := []struct {
+		name     string
+		play     func(c *registrar.Core)
+		instance string
+		state    wire.BackendState
+	}{
+		{"late one of the same start", func(c *registrar.Core) {
+			c.Announce(10, start("a", 100, 2, "draining"))
+			c.Announce(20, start("a", 100, 1, "ready"))
+		}, "a", draining},
+		{"doubled one does not renew the lease", func(c *registrar.Core) {
+			c.Announce(-3100, start("a", 100, 1, "ready"))
+			c.Announce(20, start("a", 100, 1, "ready"))
+		}, "a", wire.BackendState_BACKEND_STATE_GONE},
+		{"earlier start of another instance", func(c *registrar.Core) {
+			c.Announce(10, start("b", 200, 1, "ready"))
+			c.Announce(20, start("a", 100, 9, "draining"))
+		}, "b", ready},
+		{"later start under the same id counts anew", func(c *registrar.Core) {
+			c.Announce(10, start("a", 100, 50, "draining"))
+			c.Announce(20, start("a", 300, 1, "ready"))
+		}, "a", ready},
+		{"start after the VM's clock was set back, once the old one is silent", func(c *registrar.Core) {
+			c.Announce(-3100, start("a", 9000, 50, "ready"))
+			c.Announce(20, start("b", 100, 1, "ready"))
+		}, "b", ready},
+		{"late one after the leave", func(c *registrar.Core) {
+			c.Announce(10, start("a", 100, 1, "ready"))
+			c.Withdraw(20, "a", 100)
+			c.Announce(30, start("a", 100, 2, "ready"))
+		}, "a", draining},
+		{"leave of an earlier start", func(c *registrar.Core) {
+			c.Announce(10, start("a", 300, 1, "ready"))
+			c.Withdraw(20, "a", 100)
+		}, "a", ready},
+		{"later start after the leave", func(c *registrar.Core) {
+			c.Announce(10, start("a", 100, 1, "ready"))
+			c.Withdraw(20, "a", 0)
+			c.Announce(30, start("a", 101, 1, "ready"))
+		}, "a", ready},
+		{"leave of an unknown server comes before its announcement", func(c *registrar.Core) {
+			c.Withdraw(20, "a", 100)
+			c.Announce(30, start("a", 100, 1, "ready"))
+		}, "", wire.BackendState_BACKEND_STATE_NONE},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := registrar.New("board")
+			tc.play(c)
+			require.Equal(t, tc.state, c.Backend(100).State)
+			require.Equal(t, tc.instance, c.Instance())
+		})
+	}
+}
+
+func TestRepeatedAnnouncementsChangeNothing(t *testing.T) {
+	c := registrar.New("board")
+	require.Empty(t, c.Announce(10, start("a", 100, 1, "ready")))
+
+	before := c.Backend(20)
+	for i := range uint64(5) {
+		require.Empty(t, c.Announce(tiller.Millis(100*(i+1)), start("a", 100, 2+i, "ready")))
+		require.Equal(t, before, c.Backend(20), "an entry that changes travels to every node")
+	}
+}
+
+func TestDrainLinger(t *testing.T) {
+	c := registrar.New("board", registrar.WithDrainLinger(500))
+	c.Announce(0, start("a", 100, 1, "ready"))
+	c.Announce(100, start("a", 100, 2, "draining"))
+	c.Announce(400, start("a", 100, 3, "draining"))
+	require.True(t, c.Accepts(599))
+	require.False(t, c.Accepts(600), "a repeated announcement does not start the linger anew")
+}
+
+func TestRefusedConnectionOutweighsSilence(t *testing.T) {
+	c := registrar.New("board", registrar.WithLease(10_000))
+	c.Announce(0, start("a", 100, 1, "ready"))
+	c.Refused(100)
+	require.False(t, c.Accepts(2900), "no announcement came since")
+	require.True(t, c.Accepts(3200))
+
+	c.Refused(4000)
+	c.Announce(4100, start("b", 200, 1, "ready"))
+	require.True(t, c.Accepts(4200), "another start listens anew")
+}
