Come back sooner after a whole restart; log events with their cause

Cause: a restarted controller decoded and validated every version of its log (0.4 s for 30 versions at 0.24 cores), lost its lease by it and left the fleet without a configuration for three seconds; a node whose source had nothing yet asked again a second later; an initial voter that lost its disk was not retired by its successor, since its name was its address. Events were only on the time line. Change: a batch of committed entries serves its newest version once; a node without a configuration asks four times a second; an older identity is also known by its address; each event is a log line, a refusal names the call's id. Tests first failing: TestInitialVoterIsRetiredByItsAddress; new: suspended leader, reads by quorum, initial voters.

--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -33,7 +34,7 @@
 func (f *Forwarder) serveCaller(w http.ResponseWriter, r *http.Request) {
 	c, err := f.newCall(w, r)
 	if err != nil {
-		f.refuse(w, nil, err)
+		f.refuse(w, c, err)
 
 		return
 	}
@@ -64,7 +65,7 @@
 	answerTo(w, answer)
 }
 
-// refuse answers a call that is not served; the call is nil where it could not be read.
+// refuse answers a call that is not served.
 func (f *Forwarder) refuse(w http.ResponseWriter, c *call, err *tiller.CallError) {
 	f.refused.Inc(1)
 	f.noteShed(err)
@@ -78,66 +79,76 @@
 	return tiller.NewCallError(tiller.VerdictNotRun, reason, detail)
 }
 
+// newCall reads and routes a call. A refused one holds what is known of it.
 func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request) (*call, *tiller.CallError) {
-	table := f.Table.Load()
-	if table == nil {
-		return nil, notRun(tiller.ReasonNotReady, "the node has no configuration yet").WithRetryAfter(tiller.Second)
-	}
+	terms := f.Dialect.Terms(r.Header)
+	q := f.newRequest(r, terms)
+	c := &call{request: q, table: f.Table.Load()}
 
-	target := rawTarget(r)
+	if c.table == nil {
+		return c, notRun(tiller.ReasonNotReady, "the node has no configuration yet").WithRetryAfter(notReadyRetry)
+	}
 
-	route, ok := table.Match(r.Host, r.Method, rawPath(target))
+	route, ok := c.table.Match(r.Host, r.Method, rawPath(q.target))
 	if !ok || (route.Internal() && !f.fromWorker(r)) {
-		return nil, notRun(tiller.ReasonNoRoute, "no route for "+r.Method+" "+r.Host+rawPath(target))
+		return c, notRun(tiller.ReasonNoRoute, "no route for "+r.Method+" "+r.Host+rawPath(q.target))
 	}
 
-	terms := f.Dialect.Terms(r.Header)
 	if route.AtMostOnce() && terms.Key() == "" {
-		return nil, notRun(tiller.ReasonKeyMissing, "this call needs the header "+HeaderKey+": "+string(f.DataCentre)+".<UUID version 7>")
+		return c, notRun(tiller.ReasonKeyMissing, "this call needs the header "+HeaderKey+": "+string(f.DataCentre)+".<UUID version 7>")
 	}
 
-	service := f.Splitter.Pick(route)
-	settings := table.Settings(service)
+	f.route(c, route, terms)
 
-	left := timeLimit(terms, route, settings)
+	left := q.deadline - f.Clock.Now()
 	if left <= 0 {
-		return nil, notRun(tiller.ReasonDeadline, "no time is left for the call")
+		return c, notRun(tiller.ReasonDeadline, "no time is left for the call")
 	}
 
-	deadline := f.Clock.Now() + left
-
-	body, err := readPayload(w, r, left, settings.Value(tiller.SettingMaxRequestBytes))
+	body, err := readPayload(w, r, left, c.settings.Value(tiller.SettingMaxRequestBytes))
 	if err != nil {
-		return nil, err
+		return c, err
 	}
 
-	q := f.newRequest(r, route, terms, body)
-	q.service = service
-	q.deadline = deadline
-	q.aim = f.aimOf(route, terms, deadline-left)
+	q.body = body
+	q.digest = quarantiner.DigestOf(q.method, q.target, q.key, body.kept)
+
+	return c, nil
+}
+
+// notReadyRetry is the advice of a node without a configuration, which a running source sends within about a second.
+const notReadyRetry = tiller.Second
+
+// route takes over what the route and the settings of its service say.
+func (f *Forwarder) route(c *call, route tiller.Route, terms tiller.CallTerms) {
+	q := c.request
+	now := f.Clock.Now()
 
-	attempts := int(settings.Value(tiller.SettingAttempts))
+	c.route = route
+	q.service = f.Splitter.Pick(route)
+	c.settings = c.table.Settings(q.service)
+	q.route, q.priority, q.atMostOnce = route.Name(), route.Priority(), route.AtMostOnce()
+	q.deadline = now + timeLimit(terms, route, c.settings)
+	q.aim = f.aimOf(route, terms, now)
+
+	attempts := int(c.settings.Value(tiller.SettingAttempts))
 	if route.MaxAttempts() > 0 {
 		attempts = route.MaxAttempts()
 	}
 
-	c := &call{route: route, settings: settings, table: table, request: q}
 	c.attempts = retrier.NewCall(route.Idempotent(), attempts, q.chainLeft, f.Budget)
-
-	return c, nil
 }
 
-func (f *Forwarder) newRequest(r *http.Request, route tiller.Route, terms tiller.CallTerms, body *payload) *request {
-	cause := terms.Cause()
+// newRequest returns what a call says of itself before it is routed.
+func (f *Forwarder) newRequest(r *http.Request, terms tiller.CallTerms) *request {
+	cause := cmp.Or(terms.Cause(), terms.ID())
 	if cause == "" {
 		cause = uuid.NewString()
 	}
 
 	return &request{
-		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), body: body, route: route.Name(),
-		priority: route.Priority(), atMostOnce: route.AtMostOnce(), id: terms.ID(), key: terms.Key(), cause: cause, origin: f.Service,
-		chainLeft: max(0, min(terms.RetriesLeft().OrElse(defaultChainRetries), defaultChainRetries)),
-		digest:    quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.kept),
+		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), id: terms.ID(), key: terms.Key(),
+		cause: cause, origin: f.Service, chainLeft: max(0, min(terms.RetriesLeft().OrElse(defaultChainRetries), defaultChainRetries)),
 	}
 }
 
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -31,16 +31,19 @@
 		"worker", string(at.Worker()), "verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail())...)
 }
 
-// describe returns what every line about a call says; a call that could not be read has nothing to say.
+// describe returns what every line about a call says.
 func (l callLog) describe(c *call) []any {
-	if c == nil {
-		return nil
-	}
-
 	q := c.request
+	fields := []any{"id", q.id, "cause", q.cause}
 
-	return []any{
-		"id", q.id, "cause", q.cause, "priority", q.priority, "route", q.route, "service", string(q.service), "version", c.table.Version().String(),
-		"time_left_ms", int64(q.deadline - l.clock.Now()),
+	if c.table == nil {
+		return fields
 	}
+
+	fields = append(fields, "version", c.table.Version().String())
+	if q.route == "" {
+		return fields
+	}
+
+	return append(fields, "route", q.route, "service", string(q.service), "priority", q.priority, "time_left_ms", int64(q.deadline-l.clock.Now()))
 }
--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -79,6 +79,10 @@
 func (c *Core) hearController(from string, o *wire.Offer) {
 	c.failures = 0
 
+	if c.holder.Version().IsZero() && tiller.VersionOf(o.GetVersion()).IsZero() {
+		c.pullAt = min(c.pullAt, c.now+bootPullPeriod+c.jitter(bootPullPeriod))
+	}
+
 	switch {
 	case o.GetConfirmed():
 		c.leader = from
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -21,9 +21,11 @@
 	// LeasePeriod is how long a version counts as confirmed after the source's lease was seen.
 	LeasePeriod = 15 * tiller.Second
 
-	pullPeriod                    = tiller.Second
-	pullTimeout                   = tiller.Second
-	bootWindow      tiller.Millis = 400
+	pullPeriod                = tiller.Second
+	pullTimeout               = tiller.Second
+	bootWindow  tiller.Millis = 400
+	// bootPullPeriod is how often a node without a configuration asks a source that has none to give yet.
+	bootPullPeriod  tiller.Millis = 250
 	reportPeriod                  = 5 * tiller.Second
 	maxBackoff                    = 10 * tiller.Second
 	maxBackoffShift               = 4
@@ -171,7 +173,7 @@
 func (c *Core) tick() {
 	if !c.started {
 		c.started = true
-		c.pullAt = c.now + c.jitter(pullPeriod)
+		c.pullAt = c.now + c.jitter(bootPullPeriod)
 		c.summaryAt = c.now + c.jitter(pullPeriod)
 		c.nextSource = c.random.IntN(max(len(c.controllers), 1))
 	}
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -148,7 +148,7 @@
 	hybrid := recorder.NewHybridClock(tiller.WallClock())
 	s := &Server{
 		settings: settings, options: options, clock: tiller.BootClock(),
-		ring:     recorder.New(settings.Name, tiller.DataCentre(settings.DataCentre), hybrid),
+		ring:     recorder.New(settings.Name, tiller.DataCentre(settings.DataCentre), hybrid, recorder.WithLog(options.Log)),
 		waiting:  map[uint64]chan *wire.ApplyReply{},
 		reading:  map[uint64]chan bool{},
 		syncTime: metrics.GetOrRegisterTimer("journal.sync", options.Metrics),
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -93,7 +93,7 @@
 
 	s := &Server{
 		settings: settings, options: options, clock: clock, hybrid: hybrid,
-		ring: recorder.New(settings.Name, dc, hybrid), register: quarantiner.New(),
+		ring: recorder.New(settings.Name, dc, hybrid, recorder.WithLog(options.Log)), register: quarantiner.New(),
 		registrar: newRegistrar(settings),
 		listeners: map[string]net.Listener{},
 		splitter:  balancer.NewSplitter(newRandom()),
--- a/process/recorder/recorder.go
+++ b/process/recorder/recorder.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 
+	"github.com/go-logr/logr"
+
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -73,13 +75,26 @@
 	events     []*wire.Event
 	next       int
 	dropped    uint64
+	log        logr.Logger
 }
 
+// Option changes what a ring does with events.
+type Option func(*Ring)
+
+// WithLog writes a line for each event too. Retries and refusals of single calls are left out, since the call path logs them
+// with the call's id.
+func WithLog(log logr.Logger) Option { return func(r *Ring) { r.log = log } }
+
 var _ tiller.Recorder = (*Ring)(nil)
 
 // New returns an empty ring.
-func New(process string, dc tiller.DataCentre, clock *HybridClock) *Ring {
-	return &Ring{process: process, dataCentre: dc, clock: clock}
+func New(process string, dc tiller.DataCentre, clock *HybridClock, options ...Option) *Ring {
+	r := &Ring{process: process, dataCentre: dc, clock: clock, log: logr.Discard()}
+	for _, o := range options {
+		o(r)
+	}
+
+	return r
 }
 
 // Record stamps and keeps events; the oldest make room.
@@ -88,10 +103,30 @@
 	defer r.mu.Unlock()
 
 	for _, e := range events {
-		r.add(r.stamped(e))
+		w := r.stamped(e)
+		r.add(w)
+
+		if e.Kind() != tiller.EventRetried && e.Kind() != tiller.EventShed {
+			r.log.Info(w.GetKind(), describe(w)...)
+		}
 	}
 }
 
+// describe returns the fields of an event that are set.
+func describe(e *wire.Event) []any {
+	fields := []any{"stamp", e.GetStamp()}
+
+	for _, f := range []struct{ name, value string }{
+		{"version", e.GetVersion()}, {"key", e.GetKey()}, {"cause", e.GetCause()}, {"detail", e.GetDetail()},
+	} {
+		if f.value != "" {
+			fields = append(fields, f.name, f.value)
+		}
+	}
+
+	return fields
+}
+
 func (r *Ring) stamped(e tiller.Event) *wire.Event {
 	w := &wire.Event{
 		Stamp: uint64(r.clock.Next()), Process: r.process, DataCentre: string(r.dataCentre),
--- a/source/controller/controller.go
+++ b/source/controller/controller.go
@@ -205,11 +205,8 @@
 		c.restored(e.Restore)
 	}
 
-	for _, entry := range e.Committed {
-		c.apply(entry)
-	}
-
 	if len(e.Committed) > 0 {
+		c.applyAll(e.Committed)
 		c.compact()
 	}
 
@@ -243,6 +240,26 @@
 	c.offerRelays()
 }
 
+// applyAll applies committed entries; only the newest version of a batch, such as the log of a restarted controller, is served.
+func (c *Core) applyAll(entries []*wire.Entry) {
+	before := c.state.Version()
+	revision := c.state.Placements().GetRevision()
+
+	for _, entry := range entries {
+		c.apply(entry)
+	}
+
+	if c.state.Version().NewerThan(before) {
+		if err := c.serve(); err != nil {
+			c.emit(tiller.EventRejected, err.Error(), tiller.WithVersion(c.state.Version()))
+		}
+	}
+
+	if c.state.Version().NewerThan(before) || c.state.Placements().GetRevision() > revision {
+		c.offerRelays()
+	}
+}
+
 func (c *Core) apply(entry *wire.Entry) {
 	c.applied = entry.GetIndex()
 
@@ -262,23 +279,14 @@
 	}
 
 	before := c.state.Version()
-	revision := c.state.Placements().GetRevision()
 	outcome := c.state.Apply(entry.GetIndex(), &command)
 
 	if c.state.Version().NewerThan(before) {
 		c.emit(tiller.EventAccepted, "by "+outcome.GetAuthor(),
 			tiller.WithVersion(c.state.Version()), tiller.WithKey(outcome.GetEditId()))
-
-		if err := c.serve(); err != nil {
-			c.emit(tiller.EventRejected, err.Error(), tiller.WithVersion(c.state.Version()))
-		}
 	} else if outcome.GetConflict() {
 		c.emit(tiller.EventConflict, "base is not the version in force", tiller.WithKey(outcome.GetEditId()))
 	}
-
-	if c.state.Version().NewerThan(before) || c.state.Placements().GetRevision() > revision {
-		c.offerRelays()
-	}
 }
 
 func (c *Core) compact() {
--- a/source/replicator/cluster_test.go
+++ b/source/replicator/cluster_test.go
@@ -41,6 +41,8 @@
 	up      bool
 	skew    tiller.Millis
 	applied []*wire.Entry
+	// suspended marks a clock that stood still, by which no lease can be judged.
+	suspended bool
 }
 
 // cluster runs controllers' cores in virtual time and checks the protocol's invariants after every step.
@@ -55,11 +57,13 @@
 	proposals int
 	// failDisk makes the next write of a server fail, which kills it.
 	failDisk map[int]bool
+	// reads holds whether a token's read was confirmed, once it is answered.
+	reads map[uint64]bool
 }
 
 func newCluster(t check, seed uint64, size int) *cluster {
 	c := &cluster{
-		t: t, seed: seed, now: 1000, leaders: map[uint64]string{}, committed: map[uint64]*wire.Entry{}, failDisk: map[int]bool{},
+		t: t, seed: seed, now: 1000, leaders: map[uint64]string{}, committed: map[uint64]*wire.Entry{}, failDisk: map[int]bool{}, reads: map[uint64]bool{},
 		net: faultnet.New(seed, faultnet.Faults{MinDelay: 1, MaxDelay: 30}),
 	}
 
@@ -130,6 +134,14 @@
 		s.applied = append(s.applied, entry)
 	}
 
+	for _, token := range e.Confirmed {
+		c.reads[token] = true
+	}
+
+	for _, token := range e.Unconfirmed {
+		c.reads[token] = false
+	}
+
 	c.net.Send(c.now, e.Messages...)
 	c.checkLeader(s)
 
@@ -180,7 +192,7 @@
 			c.step(i, replicator.Tick{})
 			c.join(s)
 
-			if s.up && s.core.Current(c.now+s.skew) {
+			if s.up && !s.suspended && s.core.Current(c.now+s.skew) {
 				current++
 			}
 		}
@@ -243,6 +255,9 @@
 	return c.step(i, replicator.Propose{Data: []byte(fmt.Sprintf("command %d", c.proposals))})
 }
 
+// read asks a controller for a confirmation; the answer comes in reads.
+func (c *cluster) read(i int, token uint64) { c.step(i, replicator.Confirm{Token: token}) }
+
 func (c *cluster) isolate(addresses ...string) {
 	set := tiller.NewSet(addresses...)
 	c.net.Cut(func(from, to string) bool { return set.Has(from) != set.Has(to) })
--- a/source/replicator/membership.go
+++ b/source/replicator/membership.go
@@ -145,10 +145,11 @@
 	return p != nil && p.match >= c.commit && p.acked >= c.now-c.timing.electionMin
 }
 
-// replacedBy returns the older identity of the same controller, whose disk is gone.
+// replacedBy returns the older identity of the same controller, whose disk is gone. Initial voters are named by their address.
 func (c *Core) replacedBy(learner *wire.Member) *wire.Member {
 	for _, m := range c.members {
-		if m.GetName() == learner.GetName() && m.GetId() != learner.GetId() && m.GetId() != c.id {
+		same := m.GetName() == learner.GetName() || m.GetAddress() == learner.GetAddress()
+		if same && m.GetId() != learner.GetId() && m.GetId() != c.id {
 			return m
 		}
 	}
--- a/source/replicator/replicator_test.go
+++ b/source/replicator/replicator_test.go
@@ -1,6 +1,7 @@
 package replicator_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -134,6 +135,97 @@
 	require.NotEmpty(t, c.servers[fresh].core.Cluster())
 }
 
+func TestInitialVoterIsRetiredByItsAddress(t *testing.T) {
+	c := threeVoters(t)
+	victim := (c.leader() + 1) % 3
+	c.kill(victim)
+
+	fresh := c.add(c.servers[victim].member.GetName(), false)
+	c.kill(fresh)
+	c.servers[fresh].member.Name = "renamed"
+	c.start(fresh)
+	c.run(1500)
+	require.Equal(t, 3, c.voters())
+
+	for _, m := range c.servers[c.leader()].core.Members() {
+		require.NotEqual(t, c.servers[victim].member.GetId(), m.GetId(), "long before it counts as silent")
+	}
+}
+
+// TestSuspendedLeaderConfirmsNothing stops a leader's clock while another one takes over: by its own clock its lease still
+// holds.
+func TestSuspendedLeaderConfirmsNothing(t *testing.T) {
+	c := threeVoters(t)
+	old := c.leader()
+	confirm := func(i int) bool {
+		c.read(i, 7)
+		c.run(1500)
+
+		confirmed, answered := c.reads[7]
+		require.True(t, answered)
+		delete(c.reads, 7)
+
+		return confirmed
+	}
+
+	require.True(t, confirm(old))
+
+	before := c.now
+	c.servers[old].up = false
+	c.run(10 * tiller.Second)
+	require.NotEqual(t, -1, c.leader())
+	require.NotEqual(t, old, c.leader())
+
+	c.servers[old].skew -= c.now - before
+	c.servers[old].up = true
+	c.servers[old].suspended = true
+	require.True(t, c.servers[old].core.Current(c.now+c.servers[old].skew), "its clock says that the lease holds")
+	c.read(old, 7)
+	c.run(1500)
+	require.False(t, c.reads[7])
+
+	delete(c.reads, 7)
+	require.True(t, confirm(c.leader()))
+}
+
+func TestReadsAreConfirmedByAQuorumOnly(t *testing.T) {
+	c := threeVoters(t)
+	leader := c.leader()
+	c.read((leader+1)%3, 1)
+	require.False(t, c.reads[1], "a follower refuses at once")
+
+	c.isolate(c.address(leader))
+	c.read(leader, 2)
+	c.run(2 * tiller.Second)
+
+	confirmed, answered := c.reads[2]
+	require.True(t, answered)
+	require.False(t, confirmed)
+}
+
+func TestInitialVotersFormOneClusterByThemselves(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, seed, 0)
+		for i := range 3 {
+			c.add(fmt.Sprintf("c%d", i), false)
+		}
+
+		var voters []*wire.Member
+		for _, s := range c.servers {
+			voters = append(voters, s.member)
+		}
+
+		for i, s := range c.servers {
+			s.disk = replicator.Restored{Snapshot: replicator.Bootstrap("cluster", nil, voters...), HardState: &wire.HardState{Term: 1}}
+			c.start(i)
+		}
+
+		c.run(5 * tiller.Second)
+		require.Equal(t, 3, c.voters())
+		require.NotZero(t, c.propose())
+	}
+}
+
 func TestSecondVoterLostRightAfterTheFirstWasReplaced(t *testing.T) {
 	c := threeVoters(t)
 	index := c.propose()
