Stop in the order that keeps callers served; test the connection server and client

A long body whose source stalls held up an answer that came early, and its beginning was sent only with the rest. Change: HTTP parts stop within 300 ms and the platform's part stops last; idle connections with bytes that arrived are not closed; bodies are written part by part beside the reading.

--- /dev/null
+++ b/calls/acceptor/acceptor_test.go
@@ -0,0 +1,380 @@
+package acceptor_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
+)
+
+const patience = 10 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve runs an acceptor until the test ends and returns it with its address.
+func serve(t *testing.T, handler http.HandlerFunc, limits acceptor.Limits) (*acceptor.Acceptor, string) {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	a := acceptor.New(handler, func() acceptor.Limits { return limits })
+	done := make(chan error, 1)
+
+	go func() { done <- a.Serve(l) }()
+
+	t.Cleanup(func() {
+		require.NoError(t, a.Close())
+		require.ErrorIs(t, <-done, acceptor.ErrClosed)
+	})
+
+	return a, l.Addr().String()
+}
+
+// dial opens a connection and sends bytes on it.
+func dial(t *testing.T, address, sent string) net.Conn {
+	t.Helper()
+
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+
+	_, err = io.WriteString(c, sent)
+	require.NoError(t, err)
+
+	return c
+}
+
+// echo answers with what it was asked.
+func echo(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+
+		return
+	}
+
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, data)
+}
+
+// TestFraming sends what two readers might cut into requests differently; only whole and clear requests may reach the handler.
+func TestFraming(t *testing.T) {
+	const (
+		host    = "Host: a.example\r\n"
+		another = "GET /smuggled HTTP/1.1\r\n" + host + "\r\n"
+	)
+
+	cases := []struct {
+		name   string
+		sent   string
+		status []int
+		paths  string
+	}{
+		{"plain", "GET /a HTTP/1.1\r\n" + host + "\r\n", []int{200}, "/a"},
+		{"blank lines in front", "\r\n\r\nGET /a HTTP/1.1\r\n" + host + "\r\n", []int{200}, "/a"},
+		{"escaped slash stays", "GET /a%2Fb?x=%20 HTTP/1.1\r\n" + host + "\r\n", []int{200}, "/a%2Fb?x=%20"},
+		{"sized body", "POST /a HTTP/1.1\r\n" + host + "Content-Length: 2\r\n\r\nhi", []int{200}, "/a"},
+		{"chunked with trailers", "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: y\r\n\r\n", []int{200}, "/a"},
+		{"two pipelined", "GET /a HTTP/1.1\r\n" + host + "\r\nGET /b HTTP/1.1\r\n" + host + "\r\n", []int{200, 200}, "/a /b"},
+		{"length and chunks", "POST /a HTTP/1.1\r\n" + host + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + another, []int{400}, ""},
+		{"two lengths", "POST /a HTTP/1.1\r\n" + host + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + another, []int{400}, ""},
+		{"signed length", "POST /a HTTP/1.1\r\n" + host + "Content-Length: +5\r\n\r\nhello" + another, []int{400}, ""},
+		{"unknown coding", "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + another, []int{400}, ""},
+		{"space before the colon", "POST /a HTTP/1.1\r\n" + host + "Content-Length : 5\r\n\r\nhello" + another, []int{400}, ""},
+		{"folded header", "GET /a HTTP/1.1\r\n" + host + "X: a\r\n b\r\n\r\n" + another, []int{400}, ""},
+		{"no host", "GET /a HTTP/1.1\r\n\r\n" + another, []int{400}, ""},
+		{"two hosts", "GET /a HTTP/1.1\r\n" + host + "Host: b.example\r\n\r\n" + another, []int{400}, ""},
+		{"another protocol", "GET /a HTTP/2.0\r\n" + host + "\r\n" + another, []int{400}, ""},
+		{"headers above the limit", "GET /a HTTP/1.1\r\n" + host + "X: " + strings.Repeat("x", 2000) + "\r\n\r\n" + another, []int{431}, ""},
+		{"bad chunk ends the connection", "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhi\r\n0\r\n\r\n" + another, []int{400}, ""},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var paths atomic.Value
+
+			paths.Store("")
+
+			_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				data, err := io.ReadAll(r.Body)
+				if err != nil {
+					w.WriteHeader(http.StatusBadRequest)
+
+					return
+				}
+
+				require.LessOrEqual(t, len(data), 2)
+				_, _ = io.WriteString(w, r.RequestURI)
+			}, acceptor.NewLimits(1024, 5000, 5000))
+
+			c := dial(t, address, tc.sent)
+			reader := bufio.NewReader(c)
+
+			var got []string
+
+			for _, status := range tc.status {
+				resp, err := http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+				require.Equal(t, status, resp.StatusCode)
+
+				data, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+
+				if status == http.StatusOK {
+					got = append(got, string(data))
+				} else {
+					require.True(t, resp.Close, "nobody may trust what follows")
+				}
+			}
+
+			require.Equal(t, tc.paths, strings.Join(got, " "))
+
+			if tc.status[0] != http.StatusOK {
+				_, err := reader.ReadByte()
+				require.ErrorIs(t, err, io.EOF, "nothing behind it is answered")
+			}
+		})
+	}
+}
+
+func TestBodyCutShortNeverLooksWhole(t *testing.T) {
+	failed := make(chan error, 1)
+	_, address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		failed <- err
+	}, acceptor.DefaultLimits())
+
+	c := dial(t, address, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nhalf")
+	require.NoError(t, c.Close())
+	require.ErrorIs(t, <-failed, io.ErrUnexpectedEOF)
+}
+
+// TestPipelinedRequestsRunSideBySideAndAnswerInOrder makes the first request wait for the second.
+func TestPipelinedRequestsRunSideBySideAndAnswerInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-second
+		} else {
+			defer close(second)
+		}
+
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, acceptor.DefaultLimits())
+
+	c := dial(t, address, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	reader := bufio.NewReader(c)
+
+	for _, path := range []string{"/1", "/2"} {
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+
+		data, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, path, string(data))
+	}
+}
+
+// TestTurnNeverComesBehindAClose pipelines a request that may run only once behind one whose answer closes the connection.
+func TestTurnNeverComesBehindAClose(t *testing.T) {
+	turn := make(chan error, 1)
+	_, address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/2" {
+			turn <- acceptor.AwaitTurn(r.Context())
+
+			return
+		}
+
+		panic(http.ErrAbortHandler)
+	}, acceptor.DefaultLimits())
+
+	dial(t, address, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+
+	select {
+	case err := <-turn:
+		require.Error(t, err, "the caller sends it again")
+	case <-time.After(100 * time.Millisecond):
+		// The connection ended before the second request was read.
+	}
+}
+
+// TestCallerThatLeavesIsNoticed closes the connection while requests run, one of them behind another.
+func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	running := make(chan struct{}, 2)
+	left := make(chan struct{}, 2)
+	_, address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+
+		<-r.Context().Done()
+
+		left <- struct{}{}
+	}, acceptor.DefaultLimits())
+
+	c := dial(t, address, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+
+	<-running
+	<-running
+	require.NoError(t, c.Close())
+	<-left
+	<-left
+}
+
+// TestShutdownAnswersEverythingRead stops the acceptor while two pipelined requests run; only the last answer closes.
+func TestShutdownAnswersEverythingRead(t *testing.T) {
+	running := make(chan struct{}, 2)
+	finish := make(chan struct{})
+	a, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+
+		<-finish
+		echo(w, r)
+	}, acceptor.DefaultLimits())
+
+	c := dial(t, address, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	idle := dial(t, address, "")
+
+	<-running
+	<-running
+
+	done := make(chan error, 1)
+
+	go func() { done <- a.Shutdown(context.Background()) }()
+
+	_, err := idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "idle connections are closed at once")
+	close(finish)
+
+	reader := bufio.NewReader(c)
+
+	for i := range 2 {
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, i == 1, resp.Close)
+	}
+
+	require.NoError(t, <-done)
+}
+
+func TestStreamedAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	_, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 100<<10))
+
+		panic(http.ErrAbortHandler)
+	}, acceptor.DefaultLimits())
+
+	c := dial(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, resp.Body.Close())
+	}
+
+	require.Error(t, err)
+}
+
+func TestSlowHeadersAndIdleConnectionsEnd(t *testing.T) {
+	limits := acceptor.NewLimits(1024, 50, 50)
+	_, address := serve(t, echo, limits)
+
+	slow, err := io.ReadAll(dial(t, address, "GET / HTTP/1.1\r\nHost:"))
+	require.NoError(t, err)
+	require.Contains(t, string(slow), "408")
+
+	idle, err := io.ReadAll(dial(t, address, ""))
+	require.NoError(t, err)
+	require.Empty(t, idle)
+}
+
+func TestUnreadBodyDoesNotBecomeARequest(t *testing.T) {
+	paths := make(chan string, 2)
+	_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		paths <- r.URL.Path
+
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, acceptor.DefaultLimits())
+
+	body := "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+	c := dial(t, address, fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%sGET /2 HTTP/1.1\r\nHost: a\r\n\r\n", len(body), body))
+	reader := bufio.NewReader(c)
+
+	for range 2 {
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+
+	require.Equal(t, "/1", <-paths)
+	require.Equal(t, "/2", <-paths)
+}
+
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		l := &oneConn{conn: far, done: make(chan struct{})}
+		a := acceptor.New(http.HandlerFunc(echo), acceptor.DefaultLimits)
+		done := make(chan error, 1)
+
+		go func() { done <- a.Serve(l) }()
+		go func() {
+			_, _ = near.Write(data)
+			_ = near.Close()
+		}()
+
+		_, _ = io.Copy(io.Discard, near)
+
+		require.NoError(t, a.Close())
+		<-done
+	})
+}
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	conn net.Conn
+	done chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+
+		return c, nil
+	}
+
+	<-l.done
+
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Close() error {
+	select {
+	case <-l.done:
+	default:
+		close(l.done)
+	}
+
+	return nil
+}
+
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
--- a/calls/acceptor/body.go
+++ b/calls/acceptor/body.go
@@ -127,19 +127,23 @@
 	}
 }
 
-// Close stops further reads by the handler.
+// Close stops further reads by the handler; one that is under way ends with the connection.
 func (b *body) Close() error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	b.closed = true
+	if b.mu.TryLock() {
+		b.closed = true
+		b.mu.Unlock()
+	}
 
 	return nil
 }
 
 // discard reads what is left, up to a bound, and reports whether the connection is at the next request.
 func (b *body) discard(limit int64) bool {
-	b.mu.Lock()
+	// A handler that still reads, beside an answer that came early, waits for bytes that may never come.
+	if !b.mu.TryLock() {
+		return false
+	}
+
 	defer b.mu.Unlock()
 
 	b.closed = true
@@ -165,8 +169,10 @@
 
 // whole reports whether the body has been read to its end.
 func (b *body) whole() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	return b.done
+	select {
+	case <-b.finished:
+		return true
+	default:
+		return false
+	}
 }
--- a/calls/acceptor/conn.go
+++ b/calls/acceptor/conn.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/peeker"
 )
 
 const (
@@ -57,12 +59,12 @@
 	_ = c.raw.Close()
 }
 
-// closeIfIdle closes the connection unless a request is being read or answered.
+// closeIfIdle closes the connection unless a request is being read or answered, or has arrived meanwhile.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.open > 0 || c.reading {
+	if c.open > 0 || c.reading || peeker.Peek(c.raw) == peeker.StatePending {
 		return false
 	}
 
--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -96,7 +96,6 @@
 	request Request
 	stop    func() bool
 
-	writing sync.WaitGroup
 	mu      sync.Mutex
 	written bool
 	ended   bool
@@ -137,10 +136,9 @@
 		return sent, err
 	}
 
-	body := io.MultiReader(strings.NewReader(string(e.request.Prefix)), e.request.Rest)
 	sent = true
 
-	e.writing.Go(func() { e.setWritten(e.writeBody(w, body) == nil) })
+	go func() { e.setWritten(e.writeBody(w) == nil) }()
 
 	return sent, nil
 }
@@ -180,56 +178,73 @@
 	_, _ = w.WriteString("\r\n")
 }
 
-// writeBody streams a body. One that breaks off is never ended, so that the server does not take it for whole.
-func (e *exchange) writeBody(w *bufio.Writer, body io.Reader) error {
-	if e.request.Length >= 0 {
-		n, err := io.Copy(w, body)
-		if err == nil && n != e.request.Length {
-			err = io.ErrUnexpectedEOF
-		}
-
-		return e.finishBody(w, err)
-	}
-
+// writeBody streams a body, each part as it comes. One that breaks off is never ended, so that the server does not take it for
+// whole.
+func (e *exchange) writeBody(w *bufio.Writer) error {
+	left := e.request.Length
+	chunked := left < 0
 	buffer := make([]byte, streamBufferBytes)
+	part := e.request.Prefix
+
+	var err error
 
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			_, _ = w.WriteString(strconv.FormatInt(int64(n), 16) + "\r\n")
-			_, _ = w.Write(buffer[:n])
-			_, _ = w.WriteString("\r\n")
+	for err == nil {
+		if err = e.writePart(w, part, chunked); err != nil {
+			break
 		}
 
-		if errors.Is(err, io.EOF) {
-			_, _ = w.WriteString("0\r\n\r\n")
+		left -= int64(len(part))
 
-			return e.finishBody(w, nil)
-		}
+		var n int
 
-		if err == nil {
-			err = w.Flush()
-		}
+		n, err = e.request.Rest.Read(buffer)
+		part = buffer[:n]
+	}
 
-		if err != nil {
-			return e.finishBody(w, err)
-		}
+	if errors.Is(err, io.EOF) {
+		err = e.writePart(w, part, chunked)
+		left -= int64(len(part))
 	}
-}
 
-const streamBufferBytes = 32 << 10
+	switch {
+	case err != nil:
+		return e.breakOff(err)
+	case chunked:
+		_, _ = w.WriteString("0\r\n\r\n")
 
-func (e *exchange) finishBody(w *bufio.Writer, err error) error {
-	if err == nil {
 		return w.Flush()
+	case left != 0:
+		return e.breakOff(io.ErrUnexpectedEOF)
+	default:
+		return nil
+	}
+}
+
+func (e *exchange) writePart(w *bufio.Writer, part []byte, chunked bool) error {
+	if len(part) == 0 {
+		return nil
 	}
 
-	// Ends the reading too: the server waits for the rest of a request that will not come.
+	if chunked {
+		_, _ = w.WriteString(strconv.FormatInt(int64(len(part)), 16) + "\r\n")
+		_, _ = w.Write(part)
+		_, _ = w.WriteString("\r\n")
+	} else {
+		_, _ = w.Write(part)
+	}
+
+	return w.Flush()
+}
+
+// breakOff ends the reading too: the server waits for the rest of a request that will not come.
+func (e *exchange) breakOff(err error) error {
 	_ = e.conn.raw.SetDeadline(time.Unix(1, 0))
 
 	return err
 }
 
+const streamBufferBytes = 32 << 10
+
 // receive reads the head of this request's answer; begun tells whether any byte of an answer came.
 func (e *exchange) receive() (resp *http.Response, begun bool, err error) {
 	for range maxForeign {
@@ -282,8 +297,8 @@
 		return
 	}
 
+	// A body that is still being written ends with the connection, or when its own source ends.
 	e.conn.close()
-	e.writing.Wait()
 }
 
 // answerBody reads an answer's body and releases the connection at its end.
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/peeker"
 )
 
 const (
@@ -206,32 +207,7 @@
 
 // quiet reports whether the connection is open and holds no bytes that nobody asked for.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-
-	t, ok := c.raw.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return false
-	}
-
-	var (
-		peeked [1]byte
-		result error
-	)
-
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, result = unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-
-		return true
-	})
-
-	return err == nil && errors.Is(result, unix.EAGAIN)
+	return c.reader.Buffered() == 0 && peeker.Peek(c.raw) == peeker.StateQuiet
 }
 
 // keepAliveTimeout reads how long the server keeps idle connections.
--- a/calls/limiter/limiter_test.go
+++ b/calls/limiter/limiter_test.go
@@ -30,8 +30,8 @@
 }
 
 // offer sends a request that takes the given time once it has a slot.
-func (b *bench) offer(class tiller.Class, deadline, takes tiller.Millis, outcome limiter.Outcome) {
-	b.offerTo(class, deadline, func(int) (limiter.Outcome, tiller.Millis) { return outcome, takes })
+func (b *bench) offer(class tiller.Class, deadline, takes tiller.Millis) {
+	b.offerTo(class, deadline, func(int) (limiter.Outcome, tiller.Millis) { return limiter.OutcomeServed, takes })
 }
 
 // offerTo sends a request; the server decides what becomes of it by the number that it runs already.
@@ -102,7 +102,7 @@
 					class = tiller.ClassBackground
 				}
 
-				b.offer(class, 100, takes, limiter.OutcomeServed)
+				b.offer(class, 100, takes)
 			}
 
 			b.advance()
@@ -127,22 +127,22 @@
 	}{
 		{"full queue drops the newest of the lowest class", func(b *bench) {
 			for range 3 {
-				b.offer(tiller.ClassBackground, 1000, 100, limiter.OutcomeServed)
+				b.offer(tiller.ClassBackground, 1000, 100)
 			}
 
-			b.offer(tiller.ClassInteractive, 1000, 100, limiter.OutcomeServed)
+			b.offer(tiller.ClassInteractive, 1000, 100)
 		}, tiller.ReasonOverload, 1},
 		{"wait longer than the queue timeout", func(b *bench) {
-			b.offer(tiller.ClassInteractive, 1000, 500, limiter.OutcomeServed)
-			b.offer(tiller.ClassInteractive, 1000, 500, limiter.OutcomeServed)
+			b.offer(tiller.ClassInteractive, 1000, 500)
+			b.offer(tiller.ClassInteractive, 1000, 500)
 
 			for range 60 {
 				b.advance()
 			}
 		}, tiller.ReasonDeadline, 1},
 		{"deadline passes in the queue", func(b *bench) {
-			b.offer(tiller.ClassInteractive, 1000, 500, limiter.OutcomeServed)
-			b.offer(tiller.ClassInteractive, 10, 500, limiter.OutcomeServed)
+			b.offer(tiller.ClassInteractive, 1000, 500)
+			b.offer(tiller.ClassInteractive, 10, 500)
 
 			for range 20 {
 				b.advance()
@@ -150,11 +150,11 @@
 		}, tiller.ReasonDeadline, 1},
 		{"no slots", func(b *bench) {
 			b.core.Configure(limiter.Options{})
-			b.offer(tiller.ClassInteractive, 1000, 1, limiter.OutcomeServed)
+			b.offer(tiller.ClassInteractive, 1000, 1)
 		}, tiller.ReasonNoBackend, 1},
 		{"leaving worker refuses all that wait", func(b *bench) {
 			for range 3 {
-				b.offer(tiller.ClassInteractive, 1000, 100, limiter.OutcomeServed)
+				b.offer(tiller.ClassInteractive, 1000, 100)
 			}
 
 			b.core.RefuseAll(tiller.ReasonDraining, "leaving")
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -322,19 +322,20 @@
 // Parts returns what runs until the controller stops.
 func (s *Server) Parts() []runner.Part {
 	parts := []runner.Part{
-		runner.NewPart("journal", wait, func(context.Context) error { return s.closeJournal() }),
+		runner.NewPart("journal", s.wait, func(context.Context) error { return s.closeJournal() }),
 		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
-		runner.NewPart("operators", s.serve, s.http.Shutdown),
+		runner.NewHTTP("operators", s.http, s.listener),
 		runner.NewPart("timer", runner.Every(tickPeriod, func() { s.step(controller.Tick{}) }), nil),
 	}
 	if s.monitoring != nil {
-		parts = append(parts, runner.NewPart("monitor", func(context.Context) error { return serveOn(s.monitor, s.monitoring) }, s.monitor.Shutdown))
+		parts = append(parts, runner.NewHTTP("monitor", s.monitor, s.monitoring))
 	}
 
 	return parts
 }
 
-func wait(ctx context.Context) error {
+func (s *Server) wait(ctx context.Context) error {
+	s.ring.Record(tiller.NewEvent(tiller.EventStarted, "controller"))
 	<-ctx.Done()
 
 	return nil
@@ -351,20 +352,6 @@
 	return s.journal.Close()
 }
 
-func (s *Server) serve(context.Context) error {
-	s.ring.Record(tiller.NewEvent(tiller.EventStarted, "controller"))
-
-	return serveOn(s.http, s.listener)
-}
-
-func serveOn(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "serve")
-	}
-
-	return nil
-}
-
 // Kill closes sockets and files at once, like the death of the process.
 func (s *Server) Kill() error {
 	return errors.Join(s.http.Close(), s.monitor.Close(), s.transport.Close(context.Background()), s.closeJournal())
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -61,12 +60,12 @@
 func (s *Server) Parts() []runner.Part {
 	parts := []runner.Part{
 		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
-		runner.NewPart("control", serve(s.control, s.listeners[s.settings.Address]), s.control.Shutdown),
+		runner.NewHTTP("control", s.control, s.listeners[s.settings.Address]),
 	}
 
 	for _, address := range []string{s.settings.MonitorAddress, s.settings.MetricsAddress} {
 		if address != "" {
-			parts = append(parts, runner.NewPart("monitor", serve(s.monitor, s.listeners[address]), s.monitor.Shutdown))
+			parts = append(parts, runner.NewHTTP("monitor", s.monitor, s.listeners[address]))
 		}
 	}
 
@@ -92,16 +91,6 @@
 	}
 }
 
-func serve(server *http.Server, l net.Listener) func(context.Context) error {
-	return func(context.Context) error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrap(err, "serve")
-		}
-
-		return nil
-	}
-}
-
 func (s *Server) join(ctx context.Context) error {
 	s.ring.Record(tiller.NewEvent(tiller.EventStarted, "node of "+s.settings.Service))
 	<-ctx.Done()
--- /dev/null
+++ b/process/runner/http.go
@@ -0,0 +1,39 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// httpStopTimeout bounds the wait for requests of an HTTP server that stops. Connections that have not sent anything yet would
+// hold it up for five seconds.
+const httpStopTimeout = 300 * time.Millisecond
+
+// NewHTTP returns a part that serves HTTP on a listener until it is stopped.
+func NewHTTP(name string, server *http.Server, l net.Listener) Part {
+	run := func(context.Context) error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+
+		return nil
+	}
+
+	stop := func(ctx context.Context) error {
+		bounded, cancel := context.WithTimeout(ctx, httpStopTimeout)
+		defer cancel()
+
+		if err := server.Shutdown(bounded); !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
+
+		return server.Close()
+	}
+
+	return NewPart(name, run, stop)
+}
