--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -98,35 +98,44 @@
 	return nil
 }
 
-// leave gives notice: peers and callers hear that the node leaves and turn to others, while it goes on serving. Then the gate
-// refuses late work.
+// leave gives notice in two steps. First callers hear that the node leaves, while its worker still takes work from other nodes;
+// then the other nodes hear it too. At the end of the notice the gate refuses late work.
 func (s *Server) leave(ctx context.Context) error {
+	s.leaving.Store(true)
+
+	if s.callers != nil {
+		s.callers.Drain()
+	}
+
+	notice := time.Duration(s.settings.LeaveNoticeMs) * time.Millisecond
+	pause(ctx, notice-peerNotice)
+
 	s.mu.Lock()
 	s.drained = true
 	s.mu.Unlock()
 
 	s.tick()
 
-	if s.callers != nil {
-		s.callers.Drain()
-	}
-
-	notice := s.settings.LeaveNoticeMs
 	if notice == 0 {
-		notice = defaultLeaveNoticeMs
 		s.forwarder.Drain()
 	}
 
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Duration(notice) * time.Millisecond):
-	}
-
+	pause(ctx, peerNotice)
 	s.forwarder.Drain()
 
 	return nil
 }
 
+// peerNotice is how long other nodes have to hear that the worker takes no more work; entries spread in tenths of a second.
+const peerNotice = 500 * time.Millisecond
+
+func pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
 func (s *Server) drainTime(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, time.Duration(s.settings.DrainMs)*time.Millisecond)
 }
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -62,6 +62,7 @@
 	core      *node.Core
 	registrar *registrar.Core
 	drained   bool
+	leaving   atomic.Bool
 
 	claims   waiters[string, claimer.Result]
 	strikes  waiters[uint64, struct{}]
@@ -206,20 +207,13 @@
 	switch {
 	case s.table.Load() == nil:
 		return "no configuration yet"
-	case s.isDrained():
+	case s.leaving.Load():
 		return "leaving"
 	default:
 		return ""
 	}
 }
 
-func (s *Server) isDrained() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.drained
-}
-
 // step advances the core and carries out its effects.
 func (s *Server) step(event node.Event) {
 	s.mu.Lock()
