Find dark VMs sooner and judge a cold queue by its targets

Change: dials between nodes end after 300 ms and silent connections after 700 ms; an unreachable worker pauses 1, 2, 4, 8 s; a worker whose requests all stay without an answer is left to others; unknown requests are expected to take 0.4 of their target latency. Tests: TestColdGateRefusesWhatItCannotServeInTime, TestQueueServesWhatKeepsItsWorth, TestSilentWorkerIsLeftToOthers, TestUnreachableWorkerIsTriedLessAndLess.

--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -11,8 +11,15 @@
 )
 
 const (
-	loadMaxAge     = tiller.Second
+	loadMaxAge = tiller.Second
+	// unreachableFor is how long a worker is left out after its node did not answer; it doubles up to maxUnreachable.
 	unreachableFor = tiller.Second
+	maxUnreachable = 8 * tiller.Second
+	// silence is how long all requests at a worker may stay without an answer, beside four times its pace, before it is left to
+	// others.
+	silence        = 400
+	silencePaces   = 4
+	silentPenalty  = 8
 	slowStartFloor = 0.1
 	percent        = 100
 	// remotePenalty is by how much a worker of another data centre must be cheaper, for the bytes that cross.
@@ -83,6 +90,9 @@
 	failures      int
 	ejectedUntil  tiller.Millis
 	unreachableTo tiller.Millis
+	unreachable   tiller.Millis
+	// quietSince is since when requests are in flight and none has ended.
+	quietSince tiller.Millis
 }
 
 // Balancer remembers what this node saw of each worker. It is safe for concurrent use.
@@ -112,10 +122,10 @@
 
 	comfortable := nearCost <= float64(p.Comfort)
 	if len(local) == 0 || (len(remote) > 0 && !comfortable && farCost*remotePenalty < nearCost) {
-		return b.take(far)
+		return b.take(now, far)
 	}
 
-	return b.take(near)
+	return b.take(now, near)
 }
 
 // usable splits the candidates that may take work by locality.
@@ -203,7 +213,12 @@
 
 	used := float64(load+1) / (float64(capacity+1) * c.share * warmth(now, c, p))
 
-	return pace * (1 + crowding*min(used, 1) + max(used-1, 0)) * (1 + failurePenalty*max(o.failing(now)-tolerated, 0))
+	cost := pace * (1 + crowding*min(used, 1) + max(used-1, 0)) * (1 + failurePenalty*max(o.failing(now)-tolerated, 0))
+	if o.inFlight > 0 && float64(now-o.quietSince) > silence+silencePaces*pace {
+		cost *= silentPenalty
+	}
+
+	return cost
 }
 
 // warmth grows from a small share to one over the slow start. A ready time ahead of this node's clock counts as long ago.
@@ -236,9 +251,13 @@
 	return o
 }
 
-func (b *Balancer) take(choice tiller.Option[tiller.Backend]) tiller.Option[tiller.Backend] {
+func (b *Balancer) take(now tiller.Millis, choice tiller.Option[tiller.Backend]) tiller.Option[tiller.Backend] {
 	if backend, ok := choice.Get(); ok {
 		o := b.seen[backend.Worker()]
+		if o.inFlight == 0 {
+			o.quietSince = now
+		}
+
 		o.inFlight++
 		o.sent++
 	}
@@ -253,13 +272,16 @@
 
 	o := b.observe(w)
 	o.inFlight = max(o.inFlight-1, 0)
+	o.quietSince = now
 	o.noteFailure(now, err)
 
 	switch {
 	case err == nil:
 		o.failures = 0
+		o.unreachable = 0
 	case err.Reason() == tiller.ReasonUnreachable:
-		o.unreachableTo = now + unreachableFor
+		o.unreachable = min(max(2*o.unreachable, unreachableFor), maxUnreachable)
+		o.unreachableTo = now + o.unreachable
 	case err.Reason() == tiller.ReasonBackendFailed || err.Reason() == tiller.ReasonAnswerTruncated:
 		o.failures++
 
--- a/calls/balancer/balancer_test.go
+++ b/calls/balancer/balancer_test.go
@@ -157,3 +157,44 @@
 	_, ok = b.Pick(now, candidates(one), tiller.NewSet[tiller.Worker]("near-w1"), policy()).Get()
 	require.False(t, ok)
 }
+
+// TestSilentWorkerIsLeftToOthers keeps requests at a worker whose VM went dark, for which no connection fails.
+func TestSilentWorkerIsLeftToOthers(t *testing.T) {
+	b := newBalancer()
+	dark, other := entry("near", 1, nil), entry("near", 2, nil)
+
+	for range 3 {
+		got, _ := b.Pick(now, candidates(dark), none(), policy()).Get()
+		require.Equal(t, tiller.Worker("near-w1"), got.Worker())
+	}
+
+	b.Report(now, "near-w1", balancer.NewLoad(0, 10, 20))
+	b.Report(now, "near-w2", balancer.NewLoad(6, 10, 100))
+
+	for at := now + 600; at < now+1600; at += 100 {
+		got, _ := b.Pick(at, candidates(dark, other), none(), policy()).Get()
+		require.Equal(t, tiller.Worker("near-w2"), got.Worker())
+		b.Done(at, got.Worker(), nil, policy())
+	}
+
+	b.Done(now+1600, "near-w1", nil, policy())
+
+	got, _ := b.Pick(now+1700, candidates(dark, other), none(), policy()).Get()
+	require.Equal(t, tiller.Worker("near-w1"), got.Worker(), "an answer brings it back")
+}
+
+func TestUnreachableWorkerIsTriedLessAndLess(t *testing.T) {
+	b := newBalancer()
+	at := now
+
+	for _, span := range []tiller.Millis{1000, 2000, 4000, 8000, 8000} {
+		got, ok := b.Pick(at, candidates(entry("near", 1, nil)), none(), policy()).Get()
+		require.True(t, ok)
+		b.Done(at, got.Worker(), failed(tiller.ReasonUnreachable), policy())
+
+		_, ok = b.Pick(at+span-1, candidates(entry("near", 1, nil)), none(), policy()).Get()
+		require.False(t, ok)
+
+		at += span
+	}
+}
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,10 +23,10 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection; a lost opening packet is sent again after about a second.
-	dialTimeout = 1500 * time.Millisecond
-	// silentTimeout is how long sent bytes may stay without acknowledgement before the connection counts as broken.
-	silentTimeout = 1500 * time.Millisecond
+	// defaultDialTimeout bounds the opening of a connection; a lost opening packet is sent again after about a second.
+	defaultDialTimeout = 1500 * time.Millisecond
+	// defaultSilentTimeout is how long sent bytes may stay without acknowledgement before the connection counts as broken.
+	defaultSilentTimeout = 1500 * time.Millisecond
 	// keepAliveIdle, keepAlivePeriod and keepAliveProbes find connections that went silent without a reset.
 	keepAliveIdle   = time.Second
 	keepAlivePeriod = time.Second
@@ -46,6 +47,10 @@
 type Options struct {
 	// Filter cuts connections; nil lets everything pass.
 	Filter func(to tiller.Address) bool
+	// DialTimeout bounds the opening of a connection, zero for the default.
+	DialTimeout time.Duration
+	// SilentTimeout is how long sent bytes may stay without acknowledgement, zero for the default.
+	SilentTimeout time.Duration
 	// Opened is called for each new connection; it may be nil.
 	Opened func(to tiller.Address)
 }
@@ -65,19 +70,21 @@
 	return &Exchanger{
 		options: options, idle: map[tiller.Address][]*conn{},
 		dialer: net.Dialer{
-			Timeout:         dialTimeout,
+			Timeout:         cmp.Or(options.DialTimeout, defaultDialTimeout),
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveProbes},
-			Control:         setUserTimeout,
+			Control:         setUserTimeout(cmp.Or(options.SilentTimeout, defaultSilentTimeout)),
 		},
 	}
 }
 
 // setUserTimeout makes the operating system give up on a peer that acknowledges nothing.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	return c.Control(func(fd uintptr) {
-		// Without it keep-alive probes find a silent peer, only later.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
-	})
+func setUserTimeout(timeout time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			// Without it keep-alive probes find a silent peer, only later.
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+	}
 }
 
 // conn is one connection to a server.
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -18,6 +18,8 @@
 	maxKinds          = 256
 	// spread allows for requests that take longer than the mean of their kind.
 	spread = 1.3
+	// unknownShare is the part of its target latency that a request is expected to take before any of its kind has ended.
+	unknownShare = 0.4
 	// lateShare is the part of the time left that a request may wait once it cannot be answered in time any more.
 	lateShare = 0.35
 )
@@ -97,12 +99,16 @@
 	t.grant(nil)
 }
 
-// expected returns how long a request takes once it has a slot.
-func (c *Core) expected(d Demand) float64 {
-	if known, ok := c.kinds[d.kind]; ok {
+// expected returns how long a request takes once it has a slot. Before the first of its kind has ended, its target tells.
+func (c *Core) expected(t *Ticket) float64 {
+	if known, ok := c.kinds[t.demand.kind]; ok {
 		return known
 	}
 
+	if t.demand.aim > t.queued {
+		return unknownShare * float64(t.demand.aim-t.queued)
+	}
+
 	return c.serviceTime
 }
 
@@ -112,21 +118,30 @@
 		return t.queued
 	}
 
-	return t.demand.aim - tiller.Millis(spread*c.expected(t.demand))
+	return t.demand.aim - tiller.Millis(spread*c.expected(t))
+}
+
+// typical returns how long a request takes, by those that wait where none has ended yet.
+func (c *Core) typical() float64 {
+	if c.serviceTime > 0 || len(c.queue) == 0 {
+		return c.serviceTime
+	}
+
+	return c.expected(c.queue[0])
 }
 
 // wait estimates the time until a slot is free after the given work in milliseconds.
 func (c *Core) wait(work float64) tiller.Millis {
 	slots := float64(max(c.limit, minLimit))
 
-	return tiller.Millis(c.serviceTime/(slots+1) + work/slots)
+	return tiller.Millis(c.typical()/(slots+1) + work/slots)
 }
 
 // backlog estimates the time until everything that waits has started.
 func (c *Core) backlog() tiller.Millis {
 	work := 0.0
 	for _, t := range c.queue {
-		work += c.expected(t.demand)
+		work += c.expected(t)
 	}
 
 	return c.wait(work)
@@ -141,7 +156,7 @@
 		wait = c.wait(c.workBefore(t))
 	}
 
-	took := tiller.Millis(c.expected(t.demand))
+	took := tiller.Millis(c.expected(t))
 	patience := t.demand.deadline - now
 
 	if t.late {
@@ -165,7 +180,7 @@
 
 	for _, o := range c.queue {
 		if o.before(t, c.startBy) <= 0 {
-			work += c.expected(o.demand)
+			work += c.expected(o)
 		}
 	}
 
@@ -298,7 +313,7 @@
 		patience = tiller.Millis(lateShare * float64(patience))
 	}
 
-	return now+tiller.Millis(c.expected(t.demand)/2) >= t.demand.deadline || now >= t.queued+min(patience, c.options.QueueTimeout)
+	return now+tiller.Millis(c.expected(t)/2) >= t.demand.deadline || now >= t.queued+min(patience, c.options.QueueTimeout)
 }
 
 // Cancel withdraws a waiting request and reports whether it was still waiting.
--- a/calls/limiter/limiter_test.go
+++ b/calls/limiter/limiter_test.go
@@ -247,3 +247,54 @@
 	require.Zero(t, load)
 	require.Equal(t, 1, limit)
 }
+
+// TestColdGateRefusesWhatItCannotServeInTime offers a rush before any request has ended, when nothing is known of their length.
+func TestColdGateRefusesWhatItCannotServeInTime(t *testing.T) {
+	core := limiter.New(limiter.Options{Slots: 4, QueueLength: 100, QueueTimeout: 5000})
+	refused := 0
+
+	for range 60 {
+		d := limiter.NewDemand(2, 2200).WithAim(1500).WithKind("browse")
+		core.Acquire(1000, d, func(err *tiller.CallError) {
+			if err != nil {
+				refused++
+
+				require.True(t, err.Untried())
+			}
+		})
+	}
+
+	require.Equal(t, 4, core.InFlight())
+	require.Less(t, core.Waiting(), 12, "about two more rounds fit into the target latency and its lateness")
+	require.Equal(t, 60-4-core.Waiting(), refused, "the others are refused at once")
+}
+
+// TestQueueServesWhatKeepsItsWorth mixes requests that have already lost a part of their worth with fresh ones.
+func TestQueueServesWhatKeepsItsWorth(t *testing.T) {
+	core := limiter.New(limiter.Options{Slots: 1, QueueLength: 100, QueueTimeout: 5000})
+
+	var order []string
+
+	offer := func(name string, priority int, aim tiller.Millis) *limiter.Ticket {
+		d := limiter.NewDemand(priority, 9000).WithAim(aim).WithKind("browse")
+
+		return core.Acquire(1000, d, func(err *tiller.CallError) {
+			require.Nil(t, err)
+
+			order = append(order, name)
+		})
+	}
+
+	running := offer("first", 2, 1500)
+	core.Release(1010, running, limiter.OutcomeServed)
+
+	running = offer("second", 2, 1500)
+	tickets := []*limiter.Ticket{offer("late", 2, 900), offer("fresh", 2, 1900), offer("sooner", 2, 1600), offer("urgent", 1, 1900)}
+	core.Release(1020, running, limiter.OutcomeServed)
+
+	for i, next := range []int{3, 2, 1} {
+		core.Release(1030+tiller.Millis(i), tickets[next], limiter.OutcomeServed)
+	}
+
+	require.Equal(t, []string{"first", "second", "urgent", "sooner", "fresh", "late"}, order)
+}
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -34,6 +34,10 @@
 	tickPeriod        = 50 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
+	// hopDialTimeout is several round trips between regions; a VM that does not answer within it costs the call its time.
+	hopDialTimeout = 300 * time.Millisecond
+	// hopSilentTimeout leaves room for one lost packet to be sent again.
+	hopSilentTimeout = 700 * time.Millisecond
 	// monitorTimeout bounds the answering of one question to the monitor.
 	monitorTimeout = 5 * time.Second
 )
@@ -100,8 +104,10 @@
 		splitter:  balancer.NewSplitter(newRandom()),
 		balancer:  balancer.New(dc, newRandom()),
 		gate:      limiter.NewGate(limiter.New(limiter.Options{}), clock),
-		hops:      exchanger.New(exchanger.Options{Filter: hopFilter(settings, options.Filter)}),
-		backends:  newBackends(options.Metrics),
+		hops: exchanger.New(exchanger.Options{
+			Filter: hopFilter(settings, options.Filter), DialTimeout: hopDialTimeout, SilentTimeout: hopSilentTimeout,
+		}),
+		backends: newBackends(options.Metrics),
 	}
 
 	s.core = node.New(node.Identity{
