Serve metrics as text with the time of each stage

Cause: the metrics address answered JSON without saying where calls spend their time. Change: text from the metrics library; timers for the wait at the gate, the hop and the run; refusals counted by verdict and reason.

--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -68,6 +68,7 @@
 // refuse answers a call that is not served.
 func (f *Forwarder) refuse(w http.ResponseWriter, c *call, err *tiller.CallError) {
 	f.refused.Inc(1)
+	f.stages.refused(err)
 	f.noteShed(err)
 	f.log.refused(c, err)
 
@@ -288,10 +289,14 @@
 		return f.admit(ctx, q)
 	}
 
+	done := measure(f.stages.hop)
 	x, failed := f.Hops.Do(ctx, exchanger.Request{
 		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: q.hopHeader(f.Clock.Now(), backend),
 		Prefix: q.body.kept, Rest: q.takeRest(), Length: q.body.length,
 	})
+
+	done()
+
 	if failed != nil {
 		return nil, callFailure(ctx, failed)
 	}
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -95,6 +95,7 @@
 	served   metrics.Counter
 	refused  metrics.Counter
 	retried  metrics.Counter
+	stages   stages
 	log      callLog
 	patience *patience
 }
@@ -109,6 +110,7 @@
 		served:   metrics.GetOrRegisterCounter("calls.served", options.Metrics),
 		refused:  metrics.GetOrRegisterCounter("calls.refused", options.Metrics),
 		retried:  metrics.GetOrRegisterCounter("calls.retried", options.Metrics),
+		stages:   newStages(options.Metrics),
 		patience: newPatience(),
 		log:      callLog{log: options.Log, clock: options.Clock},
 	}
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -110,7 +110,11 @@
 
 	own := f.Table.Load().Own()
 
+	done := measure(f.stages.queue)
 	slot, err := f.Gate.Acquire(ctx, q.demand())
+
+	done()
+
 	if err != nil {
 		return nil, err
 	}
@@ -275,11 +279,15 @@
 	header := q.header.Clone()
 	f.Dialect.Instruct(header, terms)
 
+	done := measure(f.stages.worker)
 	x, failed := f.Backends.Do(ctx, exchanger.Request{
 		To: target.address, Method: q.method, Target: q.target, Host: q.host, Header: header,
 		Prefix: q.body.kept, Rest: q.takeRest(), Length: q.body.length,
 		Owns: func(h http.Header) bool { return f.Dialect.Owns(h, terms) },
 	})
+
+	done()
+
 	if failed != nil {
 		return nil, f.failed(ctx, q, target, failed)
 	}
--- a/process/monitor/monitor.go
+++ b/process/monitor/monitor.go
@@ -7,7 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Register adds /healthz, /readyz and /metrics. The ready function returns an empty text or what is missing.
+// Register adds /healthz, /readyz and /metrics, the latter as text. The ready function returns an empty text or what is missing.
 func Register(mux *http.ServeMux, registry metrics.Registry, ready func() string) {
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		write(w, http.StatusOK, "ok\n")
@@ -22,8 +22,8 @@
 		write(w, http.StatusOK, "ready\n")
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		metrics.WriteJSONOnce(registry, w)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(registry, w)
 	})
 }
 
