Log late answers and the gate's refusals with what decided them

Cause: the on-call engineer saw a refusal only at the caller's node, and a late answer nowhere. Change: a line at the gate with load, limit and pace; a line for answers after the target latency and for those that the backend server failed.

--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -149,7 +149,7 @@
 
 	return &request{
 		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), id: terms.ID(), key: terms.Key(),
-		cause: cause, origin: f.Service, chainLeft: max(0, min(terms.RetriesLeft().OrElse(defaultChainRetries), defaultChainRetries)),
+		cause: cause, began: f.Clock.Now(), origin: f.Service, chainLeft: max(0, min(terms.RetriesLeft().OrElse(defaultChainRetries), defaultChainRetries)),
 	}
 }
 
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -29,6 +29,9 @@
 
 	answer, err := f.admit(ctx, q)
 	if err != nil {
+		load, limit, pace := f.Gate.Load()
+		f.log.gateRefused(q, err, load, limit, pace)
+
 		answer = refusalAnswer(err)
 	}
 
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"net/http"
+
 	"github.com/go-logr/logr"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -15,12 +17,30 @@
 // detailLevel is the level of lines about calls that went well.
 const detailLevel = 1
 
+// served tells of answers that come after the target latency or that the backend server failed; others only in detail.
 func (l callLog) served(c *call, a *Answer) {
-	if v := l.log.V(detailLevel); v.Enabled() {
-		v.Info("call served", append(l.describe(c), "worker", string(a.worker), "status", a.status)...)
+	message, line := "call served", l.log.V(detailLevel)
+
+	switch now := l.clock.Now(); {
+	case a.status >= http.StatusInternalServerError:
+		message, line = "call failed by its backend server", l.log
+	case c.request.aim > 0 && now > c.request.aim:
+		message, line = "call served late", l.log
+	}
+
+	if line.Enabled() {
+		line.Info(message, append(l.describe(c), "worker", string(a.worker), "status", a.status, "attempts", c.attempts.Made(),
+			"took_ms", int64(l.clock.Now()-c.request.began))...)
 	}
 }
 
+// gateRefused tells why the gate of this worker refused an attempt that another node sent.
+func (l callLog) gateRefused(q *request, err *tiller.CallError, load, limit int, pace tiller.Millis) {
+	l.log.Info("attempt refused", "id", q.id, "attempt", q.attempt, "route", q.route, "priority", q.priority,
+		"time_left_ms", int64(q.deadline-l.clock.Now()), "verdict", err.Verdict().String(), "reason", err.Reason().String(),
+		"detail", err.Detail(), "load", load, "limit", limit, "pace_ms", int64(pace))
+}
+
 func (l callLog) refused(c *call, err *tiller.CallError) {
 	l.log.Info("call refused", append(l.describe(c),
 		"verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail(), "retry_after_ms", int64(err.RetryAfter()))...)
--- a/calls/forwarder/request.go
+++ b/calls/forwarder/request.go
@@ -36,12 +36,14 @@
 	aim        tiller.Millis
 	atMostOnce bool
 	deadline   tiller.Millis
-	id         string
-	key        string
-	attempt    string
-	cause      string
-	chainLeft  int
-	strikes    int
+	// began is when the call arrived at this node.
+	began     tiller.Millis
+	id        string
+	key       string
+	attempt   string
+	cause     string
+	chainLeft int
+	strikes   int
 	// digest identifies the request across resends.
 	digest quarantiner.Digest
 }
--- a/calls/retrier/retrier.go
+++ b/calls/retrier/retrier.go
@@ -68,6 +68,9 @@
 // Begin counts an attempt.
 func (c *Call) Begin() { c.made++ }
 
+// Made returns the number of attempts that were offered to a server.
+func (c *Call) Made() int { return c.made }
+
 // Charge subtracts retries that were made further down the chain.
 func (c *Call) Charge(retries int) {
 	c.spent += retries
