--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -21,7 +21,7 @@
 	// unknownShare is the part of its target latency that a request is expected to take before any of its kind has ended.
 	unknownShare = 0.4
 	// lateShare is the part of the time left that a request may wait once it cannot be answered in time any more.
-	lateShare = 0.35
+	lateShare = 0.15
 )
 
 // Options bound the queue.
