Charge no attempt for a VM that could not be reached

Change: what reached no server counts as untried, like a gate's refusal. Test first failing: TestDarkNodesCostNoAttempt.

--- a/calls/forwarder/failure.go
+++ b/calls/forwarder/failure.go
@@ -23,7 +23,7 @@
 	case ctx.Err() != nil:
 		return tiller.NewCallError(verdict, tiller.ReasonCancelled, "the caller gave up")
 	case !failed.Sent():
-		return tiller.NewCallError(verdict, tiller.ReasonUnreachable, eris.Cause(failed).Error())
+		return tiller.NewCallError(verdict, tiller.ReasonUnreachable, eris.Cause(failed).Error()).WithUntried()
 	default:
 		return tiller.NewCallError(verdict, tiller.ReasonBackendFailed, "the connection broke before the answer: "+eris.Cause(failed).Error())
 	}
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -356,3 +356,17 @@
 	require.Equal(t, 503, a.status)
 	require.Less(t, float64(calls.Load())/depth, 1.3, "%d calls for a chain of %d", calls.Load(), depth)
 }
+
+// TestDarkNodesCostNoAttempt leaves two of three nodes without a listener; the route allows one attempt.
+func TestDarkNodesCostNoAttempt(t *testing.T) {
+	nodes := newNodes(t, ok, ok, ok)
+	nodes[1].server.Close()
+	nodes[2].server.Close()
+
+	for range 10 {
+		a := send(t, nodes[0], "PUT", "/once", "", "")
+		require.Equal(t, 200, a.status, a.body)
+	}
+
+	require.Equal(t, 10, runs(nodes))
+}
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -333,7 +333,7 @@
 	if failed.Refused() {
 		f.Worker.Refused()
 
-		return notRun(tiller.ReasonNoBackend, fmt.Sprintf("the backend server of %s refuses connections", f.Name))
+		return notRun(tiller.ReasonNoBackend, fmt.Sprintf("the backend server of %s refuses connections", f.Name)).WithUntried()
 	}
 
 	err := callFailure(ctx, failed)
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -133,6 +133,7 @@
 		Routes: []tiller.RouteSpec{
 			{Name: "browse", Method: "GET", PathPrefix: "/calls", Service: "board", Class: "interactive", Idempotent: true},
 			{Name: "change", Method: "PUT", PathPrefix: "/calls", Service: "board", Class: "interactive"},
+			{Name: "once", Method: "PUT", PathPrefix: "/once", Service: "board", Class: "interactive", MaxAttempts: 1},
 			{Name: "short", Method: "GET", PathPrefix: "/short", Service: "board", Class: "interactive", TimeoutMs: new(int64(150))},
 			{Name: "submit", Method: "POST", PathPrefix: "/auditions", Service: "board", Class: "interactive", AtMostOnce: true},
 			{Name: "nobody", Method: "GET", PathPrefix: "/empty", Service: "empty", Class: "patient", Idempotent: true},
