Take part again once a failed disk works

Cause: a controller whose disk was full for five seconds stayed out until somebody restarted it, so that the next loss could cost the quorum. Change: it reads its disk again each second, like a restart, and goes on. Test first failing: TestFullDiskIsAnAnswer.

--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -370,3 +371,53 @@
 
 	require.Equal(t, 10, runs(nodes))
 }
+
+// TestAddressThatAnotherWorkerTookOver sends a request to a node that is not the one meant.
+func TestAddressThatAnotherWorkerTookOver(t *testing.T) {
+	nodes := newNodes(t, ok)
+
+	for name, to := range map[string][2]string{"another worker": {"w9", "board"}, "another service": {"w0", "archive"}} {
+		t.Run(name, func(t *testing.T) {
+			r, err := http.NewRequest(http.MethodGet, nodes[0].server.URL+"/calls/1", nil)
+			require.NoError(t, err)
+			r.Header.Set(forwarder.HeaderAttempt, "a1")
+			r.Header.Set(forwarder.HeaderTo, to[0])
+			r.Header.Set(forwarder.HeaderService, to[1])
+			r.Header.Set(forwarder.HeaderDeadline, "1000")
+
+			resp, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, "not_run", resp.Header.Get(forwarder.HeaderVerdict))
+			require.Equal(t, "unreachable", resp.Header.Get(forwarder.HeaderReason))
+			require.Zero(t, runs(nodes))
+		})
+	}
+}
+
+// TestCallerThatLeavesEndsTheRun goes through two nodes.
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	started, ended := make(chan struct{}, 2), make(chan struct{}, 2)
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+
+		<-r.Context().Done()
+
+		ended <- struct{}{}
+	}
+	nodes := newNodes(t, hang, hang)
+	nodes[0].state = wire.BackendState_BACKEND_STATE_DRAINING
+
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, nodes[0].server.URL+"/calls/1", nil)
+	require.NoError(t, err)
+
+	go func() {
+		<-started
+		cancel()
+	}()
+
+	_, err = http.DefaultClient.Do(r) //nolint:bodyclose // no answer comes
+	require.Error(t, err)
+	<-ended
+}
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -59,6 +59,9 @@
 	journal tiller.Journal
 	member  *wire.Member
 	failed  error
+	// retryAt is when a controller whose disk failed reads it again.
+	retryAt tiller.Millis
+	stopped bool
 	token   uint64
 	waiting map[uint64]chan *wire.ApplyReply
 	reading map[uint64]chan bool
@@ -246,7 +249,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if s.failed != nil {
+	if s.failed != nil && !s.regain() {
 		return
 	}
 
@@ -294,9 +297,38 @@
 	return nil
 }
 
+// diskRetryPeriod is how often a failed disk is tried again.
+const diskRetryPeriod = tiller.Second
+
+// regain reads the disk again, like a restart, and reports whether the controller takes part again.
+func (s *Server) regain() bool {
+	now := s.clock.Now()
+	if s.stopped || now < s.retryAt {
+		return false
+	}
+
+	s.retryAt = now + diskRetryPeriod
+
+	// The files of the failed journal are of no use, whatever their closing says.
+	_ = s.journal.Close()
+
+	if err := s.open(); err != nil {
+		s.options.Log.Info("disk still fails", "error", err.Error())
+
+		return false
+	}
+
+	s.failed = nil
+	s.options.Log.Info("disk works again; this controller takes part")
+	s.ring.Record(tiller.NewEvent(tiller.EventRecovered, "the disk works again"))
+
+	return true
+}
+
 // fail stops all decisions: what the disk holds is unknown, and the other controllers go on without this one.
 func (s *Server) fail(err error) {
 	s.failed = err
+	s.retryAt = s.clock.Now() + diskRetryPeriod
 	s.options.Log.Error(err, "disk failed; this controller stops taking part")
 	s.ring.Record(tiller.NewEvent(tiller.EventDiskFailed, err.Error()))
 
@@ -345,6 +377,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.stopped = true
 	if s.failed == nil {
 		s.failed = eris.New("the controller has stopped")
 	}
--- a/process/controlserver/controlserver_test.go
+++ b/process/controlserver/controlserver_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,11 +33,11 @@
 // full is a journal whose disk runs full on demand.
 type full struct {
 	tiller.Journal
-	now *bool
+	now *atomic.Bool
 }
 
 func (f full) Append(r *wire.Record) error {
-	if *f.now {
+	if f.now.Load() {
 		return errors.New("no space left on device")
 	}
 
@@ -135,7 +136,8 @@
 	s := settings(t)
 	require.NoError(t, controlserver.Bootstrap(s))
 
-	isFull := false
+	var isFull atomic.Bool
+
 	c, stop := start(t, s, func(j tiller.Journal) tiller.Journal { return full{Journal: j, now: &isFull} })
 
 	defer stop()
@@ -143,11 +145,15 @@
 	leads(t, c)
 	require.True(t, apply(t, c, 1).GetOutcome().GetAccepted())
 
-	isFull = true
+	isFull.Store(true)
 	r := apply(t, c, 2)
 	require.Nil(t, r.GetOutcome())
 	require.Equal(t, tiller.VerdictMayHaveRun.String(), r.GetVerdict())
 	require.Contains(t, r.GetAdvice(), "disk")
+
+	isFull.Store(false)
+	leads(t, c)
+	require.True(t, apply(t, c, 3).GetOutcome().GetAccepted(), "the disk has room again")
 }
 
 func TestDamagedLogNamesFileAndOffset(t *testing.T) {
