End connections that always have a request behind another one

Only an answer with nothing behind it closed a draining connection, and there always was one. Ruled out: the five seconds of the standard server's shutdown (the close came at 2.5 + 3.0 s exactly). Change: a draining connection reads no further request while some are being answered; the last of these says close. A finished answer is counted before the next one is written, without which its close could be missing (seen once in TestShutdownAnswersEverythingRead). Tests first failing: TestDrainEndsAConnectionThatAlwaysHasARequestBehind; the acceptor's tests 20 times with -race green.

--- a/calls/acceptor/acceptor_test.go
+++ b/calls/acceptor/acceptor_test.go
@@ -273,6 +273,53 @@
 	require.NoError(t, <-done)
 }
 
+// TestDrainEndsAConnectionThatAlwaysHasARequestBehind pipelines further requests while the acceptor drains.
+func TestDrainEndsAConnectionThatAlwaysHasARequestBehind(t *testing.T) {
+	const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+	var taken atomic.Int64
+
+	running := make(chan struct{}, 8)
+	finish := make(chan struct{})
+	a, address := serve(t, func(http.ResponseWriter, *http.Request) {
+		taken.Add(1)
+
+		running <- struct{}{}
+
+		<-finish
+	}, acceptor.DefaultLimits())
+
+	c := dial(t, address, get+get)
+
+	<-running
+	<-running
+	a.Drain()
+
+	_, err := io.WriteString(c, get+get)
+	require.NoError(t, err)
+
+	select {
+	case <-running:
+		require.Fail(t, "a request was read after the drain began")
+	case <-time.After(200 * time.Millisecond):
+	}
+
+	close(finish)
+
+	reader := bufio.NewReader(c)
+
+	for i := range 2 {
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, i == 1, resp.Close)
+	}
+
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, int64(2), taken.Load(), "what was not read is sent again elsewhere")
+}
+
 func TestStreamedAnswerThatBreaksOffIsNotWhole(t *testing.T) {
 	_, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(make([]byte, 100<<10))
--- a/calls/acceptor/conn.go
+++ b/calls/acceptor/conn.go
@@ -41,6 +41,8 @@
 	// closing is set once an answer has told the caller that the connection closes.
 	closing bool
 	reading bool
+	// last is set when no further request is read: a caller that always has one behind another would never see the end.
+	last bool
 }
 
 func newConn(a *Acceptor, raw net.Conn) *conn {
@@ -104,7 +106,7 @@
 		}
 	}
 
-	if !c.isClosing() {
+	if !c.isEnding() {
 		// The caller left or broke off: nobody waits for the answers.
 		c.cancel()
 	}
@@ -168,7 +170,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.closing {
+	c.last = c.last || (c.open > 0 && c.acceptor.isDraining())
+	if c.closing || c.last {
 		return false
 	}
 
@@ -219,6 +222,14 @@
 	}
 }
 
+// isEnding reports whether the connection ends by the acceptor's own will.
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.closing || c.last
+}
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/calls/acceptor/exchange.go
+++ b/calls/acceptor/exchange.go
@@ -70,8 +70,9 @@
 }
 
 func (e *exchange) run() {
-	defer e.conn.finish()
+	// The next answer must find this one counted as written.
 	defer close(e.done)
+	defer e.conn.finish()
 	defer e.recover()
 
 	ctx, cancel := context.WithCancel(context.WithValue(e.conn.ctx, turnKey{}, e.turn))
