Let a silent process hold up no message to others

The logs show the leader losing its quorum three times while it was connected to one: every heartbeat sent the whole missing log to the voter that was cut off, each delivery hung for 3 s, and the 16 of them held up the entries for the healthy voter and the offers to relays. Change: at most two deliveries are under way to one process, each for a second at most; a follower that does not answer gets heartbeats without entries until it does. Test first failing: TestSilentPeerHoldsUpNoOther.

--- a/process/transporter/transporter.go
+++ b/process/transporter/transporter.go
@@ -26,9 +26,12 @@
 	// OverheadBytes is what the headers of one datagram add on the network.
 	OverheadBytes = 28
 
-	readBufferBytes  = 64 << 10
-	deliverTimeout   = 3 * time.Second
-	deliverWorkers   = 16
+	readBufferBytes = 64 << 10
+	// deliverTimeout bounds one delivery over TCP; what is lost is sent again by its sender's timers.
+	deliverTimeout = time.Second
+	deliverWorkers = 64
+	// maxDeliveries bounds the deliveries to one process under way, so that one that does not answer holds up no other.
+	maxDeliveries    = 2
 	deliverQueue     = 512
 	idleConnections  = 2
 	idleTimeout      = 30 * time.Second
@@ -38,21 +41,23 @@
 
 // Transporter sends and receives the messages of one process.
 type Transporter struct {
-	address   tiller.Address
-	conn      *net.UDPConn
-	clock     *recorder.HybridClock
-	receiver  tiller.Receiver
-	filter    Filter
-	log       logr.Logger
-	pool      pond.Pool
-	client    *http.Client
-	mu        sync.Mutex
-	peers     map[string]wire.Peer
-	resolved  sync.Map
-	sent      metrics.Counter
-	sentBytes metrics.Counter
-	received  metrics.Counter
-	lost      metrics.Counter
+	address  tiller.Address
+	conn     *net.UDPConn
+	clock    *recorder.HybridClock
+	receiver tiller.Receiver
+	filter   Filter
+	log      logr.Logger
+	pool     pond.Pool
+	client   *http.Client
+	mu       sync.Mutex
+	peers    map[string]wire.Peer
+	// delivering counts the deliveries under way by destination.
+	delivering map[string]int
+	resolved   sync.Map
+	sent       metrics.Counter
+	sentBytes  metrics.Counter
+	received   metrics.Counter
+	lost       metrics.Counter
 }
 
 var (
@@ -81,7 +86,7 @@
 	return &Transporter{
 		address: address, conn: conn, clock: clock, filter: filter, log: log,
 		pool:  pond.NewPool(deliverWorkers, pond.WithQueueSize(deliverQueue), pond.WithNonBlocking(true)),
-		peers: map[string]wire.Peer{},
+		peers: map[string]wire.Peer{}, delivering: map[string]int{},
 		client: &http.Client{
 			Timeout:   deliverTimeout,
 			Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout},
@@ -127,11 +132,42 @@
 
 	t.sentBytes.Inc(int64(len(data) + httpOverhead))
 
+	if !t.reserve(e.GetTo()) {
+		t.lost.Inc(1)
+
+		return
+	}
+
 	if _, ok := t.pool.TrySubmit(func() { t.deliver(stamped) }); !ok {
+		t.release(e.GetTo())
 		t.lost.Inc(1)
 	}
 }
 
+// reserve takes one of the few deliveries that may be under way to a process.
+func (t *Transporter) reserve(to string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.delivering[to] >= maxDeliveries {
+		return false
+	}
+
+	t.delivering[to]++
+
+	return true
+}
+
+func (t *Transporter) release(to string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.delivering[to]--
+	if t.delivering[to] == 0 {
+		delete(t.delivering, to)
+	}
+}
+
 func (t *Transporter) sendDatagram(to string, data []byte) {
 	t.sentBytes.Inc(int64(len(data) + OverheadBytes))
 
@@ -161,6 +197,8 @@
 }
 
 func (t *Transporter) deliver(e *wire.Envelope) {
+	defer t.release(e.GetTo())
+
 	ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
 	defer cancel()
 
--- /dev/null
+++ b/process/transporter/transporter_test.go
@@ -0,0 +1,70 @@
+package transporter_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/recorder"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/transporter"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+func newTransporter(t *testing.T) *transporter.Transporter {
+	t.Helper()
+
+	clock := recorder.NewHybridClock(tiller.WallClock())
+	x, err := transporter.New("127.0.0.1:0", clock, nil, metrics.NewRegistry(), logr.Discard())
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, x.Close(context.Background())) })
+
+	return x
+}
+
+// large returns a message that needs a delivery over TCP.
+func large(to string) *wire.Envelope {
+	data := make([]byte, 2*transporter.MaxDatagramBytes)
+
+	return &wire.Envelope{To: to, Body: &wire.Envelope_Append{Append: &wire.Append{Entries: []*wire.Entry{{Data: data}}}}}
+}
+
+// TestSilentPeerHoldsUpNoOther floods a process that accepts connections and never answers, then writes to another one.
+func TestSilentPeerHoldsUpNoOther(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	defer silent.Close()
+
+	var received atomic.Int64
+
+	healthy := newTransporter(t)
+	healthy.Attach(tiller.ReceiverFunc(func(*wire.Envelope) { received.Add(1) }))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	mux := http.NewServeMux()
+	mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(healthy))
+
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+
+	go func() { _ = server.Serve(l) }()
+
+	defer server.Close()
+
+	sender := newTransporter(t)
+	for range 200 {
+		sender.Send(large(silent.Addr().String()))
+	}
+
+	sender.Send(large(l.Addr().String()))
+	require.Eventually(t, func() bool { return received.Load() == 1 }, 10*time.Second, time.Millisecond)
+}
--- a/source/replicator/append.go
+++ b/source/replicator/append.go
@@ -26,7 +26,13 @@
 	}
 
 	previous := p.next - 1
-	entries := c.batch(p.next)
+
+	// A follower that does not answer gets its entries once it does.
+	var entries []*wire.Entry
+	if c.now < p.heard+c.timing.electionMin {
+		entries = c.batch(p.next)
+	}
+
 	c.send(m.GetAddress(), &wire.Envelope{Body: &wire.Envelope_Append{Append: &wire.Append{
 		Term: c.term, Leader: c.id, PreviousIndex: previous, PreviousTerm: c.termAt(previous),
 		Entries: entries, Commit: c.commit, SentAt: int64(c.now), Round: c.round,
