--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -123,24 +123,27 @@
 	return a, nil
 }
 
-// send writes the head with the body's beginning; a body that is too large to keep is written beside the reading.
-func (e *exchange) send() (sent bool, err error) {
-	w := bufio.NewWriterSize(&countingWriter{writer: e.conn.raw, sent: &sent}, writeBufferBytes)
-	e.writeHead(w)
+// send writes the head with the body's beginning and reports whether the server may have any of it. A body that is too large to
+// keep is written beside the reading.
+func (e *exchange) send() (bool, error) {
+	if e.request.Rest != nil {
+		w := bufio.NewWriterSize(e.conn.raw, writeBufferBytes)
+		e.writeHead(w)
 
-	if e.request.Rest == nil {
-		_, _ = w.Write(e.request.Prefix)
-		err = w.Flush()
-		e.setWritten(err == nil)
+		go func() { e.setWritten(e.writeBody(w) == nil) }()
 
-		return sent, err
+		return true, nil
 	}
 
-	sent = true
+	var sent bool
 
-	go func() { e.setWritten(e.writeBody(w) == nil) }()
+	w := bufio.NewWriterSize(&countingWriter{writer: e.conn.raw, sent: &sent}, writeBufferBytes)
+	e.writeHead(w)
+	_, _ = w.Write(e.request.Prefix)
+	err := w.Flush()
+	e.setWritten(err == nil)
 
-	return sent, nil
+	return sent, err
 }
 
 // countingWriter notes whether anything was written.
