--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -1,11 +1,8 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 
 	"github.com/google/uuid"
@@ -14,22 +11,8 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
-	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
-	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
-	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
 )
 
-// call is one call of a caller.
-type call struct {
-	route    tiller.Route
-	settings compiler.Effective
-	table    *Table
-	request  *request
-	attempts *retrier.Call
-}
-
-const defaultChainRetries = 2
-
 // serveCaller routes a call of a caller to a worker and passes the answer on.
 func (f *Forwarder) serveCaller(w http.ResponseWriter, r *http.Request) {
 	c, err := f.newCall(w, r)
@@ -80,117 +63,6 @@
 	return tiller.NewCallError(tiller.VerdictNotRun, reason, detail)
 }
 
-// newCall reads and routes a call. A refused one holds what is known of it.
-func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request) (*call, *tiller.CallError) {
-	terms := f.Dialect.Terms(r.Header)
-	q := f.newRequest(r, terms)
-	c := &call{request: q, table: f.Table.Load()}
-
-	if c.table == nil {
-		return c, notRun(tiller.ReasonNotReady, "the node has no configuration yet").WithRetryAfter(notReadyRetry)
-	}
-
-	route, ok := c.table.Match(r.Host, r.Method, rawPath(q.target))
-	if !ok || (route.Internal() && !f.fromWorker(r)) {
-		return c, notRun(tiller.ReasonNoRoute, "no route for "+r.Method+" "+r.Host+rawPath(q.target))
-	}
-
-	if route.AtMostOnce() && terms.Key() == "" {
-		return c, notRun(tiller.ReasonKeyMissing, "this call needs the header "+HeaderKey+": "+string(f.DataCentre)+".<UUID version 7>")
-	}
-
-	f.route(c, route, terms)
-
-	left := q.deadline - f.Clock.Now()
-	if left <= 0 {
-		return c, notRun(tiller.ReasonDeadline, "no time is left for the call")
-	}
-
-	body, err := readPayload(w, r, left, c.settings.Value(tiller.SettingMaxRequestBytes))
-	if err != nil {
-		return c, err
-	}
-
-	q.body = body
-	q.digest = quarantiner.DigestOf(q.method, q.target, q.key, body.kept)
-
-	return c, nil
-}
-
-// notReadyRetry is the advice of a node without a configuration, which a running source sends within about a second.
-const notReadyRetry = tiller.Second
-
-// route takes over what the route and the settings of its service say.
-func (f *Forwarder) route(c *call, route tiller.Route, terms tiller.CallTerms) {
-	q := c.request
-	now := f.Clock.Now()
-
-	c.route = route
-	q.service = f.Splitter.Pick(route)
-	c.settings = c.table.Settings(q.service)
-	q.route, q.priority, q.atMostOnce = route.Name(), route.Priority(), route.AtMostOnce()
-	q.deadline = now + timeLimit(terms, route, c.settings)
-	q.aim = f.aimOf(route, terms, now)
-
-	attempts := int(c.settings.Value(tiller.SettingAttempts))
-	if route.MaxAttempts() > 0 {
-		attempts = route.MaxAttempts()
-	}
-
-	c.attempts = retrier.NewCall(route.Idempotent(), attempts, q.chainLeft, f.Budget)
-}
-
-// newRequest returns what a call says of itself before it is routed.
-func (f *Forwarder) newRequest(r *http.Request, terms tiller.CallTerms) *request {
-	cause := cmp.Or(terms.Cause(), terms.ID())
-	if cause == "" {
-		cause = uuid.NewString()
-	}
-
-	return &request{
-		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), id: terms.ID(), key: terms.Key(),
-		cause: cause, began: f.Clock.Now(), origin: f.Service, chainLeft: max(0, min(terms.RetriesLeft().OrElse(defaultChainRetries), defaultChainRetries)),
-	}
-}
-
-// timeLimit is the shortest of the caller's deadline and the configured time.
-func timeLimit(terms tiller.CallTerms, route tiller.Route, settings compiler.Effective) tiller.Millis {
-	limit := settings.Millis(tiller.SettingCallTimeoutMs)
-	if route.Timeout() > 0 {
-		limit = route.Timeout()
-	}
-
-	return max(0, min(limit, terms.TimeLeft().OrElse(limit)))
-}
-
-// aimOf returns by when an answer has its full worth, zero for routes that state no target latency. The time that earlier sends
-// of the call have used counts: callers of a route start with equal deadlines, so that a shorter one tells how much.
-func (f *Forwarder) aimOf(route tiller.Route, terms tiller.CallTerms, now tiller.Millis) tiller.Millis {
-	if route.TargetLatency() == 0 {
-		return 0
-	}
-
-	left, stated := terms.TimeLeft().Get()
-	if !stated {
-		return now + route.TargetLatency()
-	}
-
-	return max(now+route.TargetLatency()-(f.patience.longest(now, route.Name(), left)-left), 1)
-}
-
-// fromWorker reports whether the caller runs on this node's VM.
-func (f *Forwarder) fromWorker(r *http.Request) bool {
-	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
-	if !ok {
-		return false
-	}
-
-	remoteHost, _, err := net.SplitHostPort(r.RemoteAddr)
-	localHost, _, localErr := net.SplitHostPort(local.String())
-
-	return errors.Join(err, localErr) == nil && (remoteHost == localHost || net.ParseIP(remoteHost).IsLoopback())
-}
-
 // attempt tries workers until one answers or no retry is allowed.
 func (f *Forwarder) attempt(ctx context.Context, c *call) (*Answer, *tiller.CallError) {
 	f.Budget.Save(c.settings.Value(tiller.SettingRetryBudgetPercent))
