--- a/document.go
+++ b/document.go
@@ -192,9 +192,6 @@
 	weight  int64
 }
 
-// NewTarget returns a target.
-func NewTarget(service Service, weight int64) Target { return Target{service: service, weight: weight} }
-
 // Service returns the service that answers.
 func (t Target) Service() Service { return t.service }
 
