--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -265,8 +265,8 @@
 	return choice
 }
 
-// Done notes the end of an attempt at a worker.
-func (b *Balancer) Done(now tiller.Millis, w tiller.Worker, err *tiller.CallError, p Policy) {
+// Done notes the end of an attempt at a worker and reports whether the worker is ejected by it.
+func (b *Balancer) Done(now tiller.Millis, w tiller.Worker, err *tiller.CallError, p Policy) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -288,8 +288,12 @@
 		if o.failures >= p.EjectAfterFailures {
 			o.failures = 0
 			o.ejectedUntil = now + p.EjectFor
+
+			return true
 		}
 	}
+
+	return false
 }
 
 // noteFailure averages how often a worker fails; a gate that has no room has not failed.
--- a/calls/forwarder/call.go
+++ b/calls/forwarder/call.go
@@ -57,7 +57,7 @@
 	}
 
 	q.body = body
-	q.digest = quarantiner.DigestOf(q.method, q.target, q.key, body.kept)
+	q.digest = quarantiner.DigestOf(q.origin, q.method, q.target, q.key, body.kept)
 
 	return c, nil
 }
@@ -82,7 +82,9 @@
 		attempts = route.MaxAttempts()
 	}
 
-	c.attempts = retrier.NewCall(route.Idempotent(), attempts, q.chainLeft, f.Budget)
+	c.attempts = retrier.NewCall(route.Idempotent(), attempts, q.chainLeft, func() bool {
+		return f.Budget.Spend(f.Clock.Now(), q.service, c.settings.Value(tiller.SettingRetryBudgetPercent))
+	})
 }
 
 // newRequest returns what a call says of itself before it is routed.
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -65,7 +65,7 @@
 
 // attempt tries workers until one answers or no retry is allowed.
 func (f *Forwarder) attempt(ctx context.Context, c *call) (*Answer, *tiller.CallError) {
-	f.Budget.Save(c.settings.Value(tiller.SettingRetryBudgetPercent))
+	f.Budget.Note(f.Clock.Now(), c.request.service)
 
 	tried := tiller.NewSet[tiller.Worker]()
 
@@ -143,7 +143,10 @@
 	q.strikes = f.Register.Count(q.digest)
 
 	answer, err := f.send(ctx, &q, backend, c.settings.Value(tiller.SettingMaxAnswerBytes))
-	f.Balancer.Done(f.Clock.Now(), backend.Worker(), err, policyOf(c.settings))
+	if policy := policyOf(c.settings); f.Balancer.Done(f.Clock.Now(), backend.Worker(), err, policy) {
+		f.log.ejected(c, backend, policy.EjectFor)
+		f.Recorder.Record(tiller.NewEvent(tiller.EventEjected, err.Error(), tiller.WithCause(string(backend.Worker())), tiller.WithKey(c.request.cause)))
+	}
 
 	if err != nil {
 		c.attempts.Charge(err.Retries())
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -201,6 +201,20 @@
 	require.Equal(t, "may_have_run", send(t, nodes[3], "PUT", "/calls/crash", "", "another body").verdict)
 }
 
+// TestEjectionIsOnTheTimeLine fails one worker until it is left out, as the document in force says.
+func TestEjectionIsOnTheTimeLine(t *testing.T) {
+	nodes := newNodes(t, truncate)
+
+	for range 4 {
+		send(t, nodes[0], "PUT", "/calls/1", "", "")
+	}
+
+	require.Zero(t, nodes[0].recorded(tiller.EventEjected))
+
+	send(t, nodes[0], "PUT", "/calls/1", "", "")
+	require.Equal(t, 1, nodes[0].recorded(tiller.EventEjected))
+}
+
 // TestStrikesTravelWithTheCall separates the nodes' registers, as if the announcements of a crash came too late.
 func TestStrikesTravelWithTheCall(t *testing.T) {
 	nodes := newNodes(t, die, die, die, die)
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -47,7 +47,7 @@
 	mu       sync.Mutex
 	struck   []quarantiner.Digest
 	refused  atomic.Int64
-	events   atomic.Int64
+	kinds    []tiller.EventKind
 }
 
 func (n *fakeNode) Target() forwarder.Target {
@@ -193,7 +193,7 @@
 		Budget: retrier.NewBudget(), Register: register, Claims: claims, Strikes: n, Worker: n, Hops: exchanger.New(exchanger.Options{}),
 		Backends: exchanger.New(exchanger.Options{}), Service: "board", Dialect: forwarder.Dialect{},
 		Splitter: balancer.NewSplitter(rand.New(rand.NewPCG(1, 1))), Log: logr.Discard(), Metrics: metrics.NewRegistry(),
-		Recorder: tiller.RecorderFunc(func(events ...tiller.Event) { n.events.Add(int64(len(events))) }),
+		Recorder: tiller.RecorderFunc(n.record),
 	})
 	n.server = httptest.NewServer(n.forward)
 	t.Cleanup(n.server.Close)
@@ -201,6 +201,31 @@
 	return n
 }
 
+func (n *fakeNode) record(events ...tiller.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	for _, e := range events {
+		n.kinds = append(n.kinds, e.Kind())
+	}
+}
+
+// recorded returns how many events of a kind are on the node's time line.
+func (n *fakeNode) recorded(kind tiller.EventKind) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	count := 0
+
+	for _, k := range n.kinds {
+		if k == kind {
+			count++
+		}
+	}
+
+	return count
+}
+
 func runs(nodes []*fakeNode) int {
 	total := 0
 	for _, n := range nodes {
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -51,6 +51,11 @@
 		"worker", string(at.Worker()), "verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail())...)
 }
 
+// ejected tells that a worker is left out after failures in a row, the last one of this call.
+func (l callLog) ejected(c *call, worker tiller.Backend, span tiller.Millis) {
+	l.log.Info("worker ejected", append(l.describe(c), "worker", string(worker.Worker()), "for_ms", int64(span))...)
+}
+
 // describe returns what every line about a call says.
 func (l callLog) describe(c *call) []any {
 	q := c.request
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -26,7 +26,9 @@
 
 // Options bound the queue.
 type Options struct {
-	Slots        int
+	Slots int
+	// Connections is how many connections the server takes; each running request holds one. Zero means no bound.
+	Connections  int
 	QueueLength  int
 	QueueTimeout tiller.Millis
 }
@@ -56,6 +58,10 @@
 
 // Configure changes the bounds; requests that run or wait stay.
 func (c *Core) Configure(options Options) {
+	if options.Connections > 0 {
+		options.Slots = min(options.Slots, options.Connections)
+	}
+
 	if options.Slots != c.options.Slots {
 		c.limit = options.Slots
 	}
--- a/calls/limiter/limiter_test.go
+++ b/calls/limiter/limiter_test.go
@@ -298,3 +298,24 @@
 
 	require.Equal(t, []string{"first", "second", "urgent", "sooner", "fresh", "late"}, order)
 }
+
+func TestServerGetsNoMoreConnectionsThanItTakes(t *testing.T) {
+	for _, tc := range []struct {
+		name                     string
+		slots, connections, want int
+	}{
+		{"no bound", 9, 0, 9},
+		{"fewer connections than slots", 9, 4, 4},
+		{"more connections than slots", 9, 130, 9},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(limiter.Options{Slots: tc.slots, Connections: tc.connections, QueueLength: 32, QueueTimeout: tiller.Second})
+			for range 20 {
+				b.offer(tiller.ClassInteractive, 10*tiller.Second, 50)
+			}
+
+			require.Equal(t, tc.want, b.core.InFlight())
+			require.Equal(t, tc.want, b.core.Limit())
+		})
+	}
+}
--- a/calls/retrier/retrier.go
+++ b/calls/retrier/retrier.go
@@ -1,53 +1,10 @@
 // Package retrier decides whether a failed attempt may be repeated, under a budget per node and one along the chain.
 package retrier
 
-import (
-	"sync"
-
-	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-)
-
-const (
-	milliPerRetry   = 1000
-	milliPerPercent = milliPerRetry / 100
-	maxSavedRetries = 20
-	minSavedRetries = 3
-	// maxUntried bounds the further gates that one call asks after refusals that cost no server anything.
-	maxUntried = 2
-)
-
-// Budget saves a share of a retry with each call and spends a whole one with each retry. It is safe for concurrent use.
-type Budget struct {
-	mu    sync.Mutex
-	milli int64
-}
-
-// NewBudget returns a budget with a small reserve.
-func NewBudget() *Budget {
-	return &Budget{milli: minSavedRetries * milliPerRetry}
-}
-
-// Save adds a call's share.
-func (b *Budget) Save(percent int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	b.milli = min(b.milli+percent*milliPerPercent, maxSavedRetries*milliPerRetry)
-}
-
-// Spend takes one retry and reports whether there was one.
-func (b *Budget) Spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+import tiller "gitlab.com/sycamoretiller/sycamoretiller"
 
-	if b.milli < milliPerRetry {
-		return false
-	}
-
-	b.milli -= milliPerRetry
-
-	return true
-}
+// maxUntried bounds the further gates that one call asks after refusals that cost no server anything.
+const maxUntried = 2
 
 // Call is one call with its attempts at one node.
 type Call struct {
@@ -57,12 +14,13 @@
 	chainLeft  int
 	spent      int
 	untried    int
-	budget     *Budget
+	spend      func() bool
 }
 
-// NewCall returns a call that may make a number of attempts; the chain allows the given number of retries in all.
-func NewCall(idempotent bool, attempts, chainLeft int, budget *Budget) *Call {
-	return &Call{idempotent: idempotent, attempts: attempts, chainLeft: chainLeft, budget: budget}
+// NewCall returns a call that may make a number of attempts; the chain allows the given number of retries in all, and spend takes
+// each one from a budget or reports that nothing is left.
+func NewCall(idempotent bool, attempts, chainLeft int, spend func() bool) *Call {
+	return &Call{idempotent: idempotent, attempts: attempts, chainLeft: chainLeft, spend: spend}
 }
 
 // Begin counts an attempt.
@@ -106,7 +64,7 @@
 		return true
 	}
 
-	if c.chainLeft <= 0 || !c.budget.Spend() {
+	if c.chainLeft <= 0 || !c.spend() {
 		return false
 	}
 
--- a/calls/retrier/retrier_test.go
+++ b/calls/retrier/retrier_test.go
@@ -38,7 +38,7 @@
 
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			c := retrier.NewCall(tc.idempotent, 3, tc.chainLeft, retrier.NewBudget())
+			c := retrier.NewCall(tc.idempotent, 3, tc.chainLeft, func() bool { return true })
 			err := tiller.NewCallError(tc.verdict, tc.reason, "")
 			retries := 0
 
@@ -50,21 +50,3 @@
 		})
 	}
 }
-
-func TestBudgetBoundsRetriesOfAFailingService(t *testing.T) {
-	b := retrier.NewBudget()
-	err := tiller.NewCallError(tiller.VerdictNotRun, tiller.ReasonOverload, "")
-	retries := 0
-
-	for range 1000 {
-		b.Save(10)
-
-		c := retrier.NewCall(true, 3, 2, b)
-		for c.Begin(); c.Retry(err); c.Begin() {
-			retries++
-		}
-	}
-
-	require.LessOrEqual(t, retries, 110)
-	require.GreaterOrEqual(t, retries, 90)
-}
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -136,8 +136,14 @@
 	}
 }
 
+// drainTime bounds the wait for calls in flight by the settings file, which knows when the process is killed, and by the document.
 func (s *Server) drainTime(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, time.Duration(s.settings.DrainMs)*time.Millisecond)
+	span := tiller.Millis(s.settings.DrainMs)
+	if t := s.table.Load(); t != nil {
+		span = min(span, t.Own().Seconds(tiller.SettingDrainSeconds))
+	}
+
+	return context.WithTimeout(ctx, span.Duration())
 }
 
 // stopCallers waits for the calls of callers in flight.
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -260,20 +260,32 @@
 
 	s.balancer.Forget(known)
 	s.splitter.Forget(table.RouteNames())
+	s.forwarder.Budget.Forget(tiller.NewSet(s.core.Document().Services()...))
 	s.configureGate(table)
 }
 
 func (s *Server) configureGate(t *forwarder.Table) {
 	own := t.Own()
-	slots := s.registrar.Backend(s.clock.Now()).Slots
+	backend := s.registrar.Backend(s.clock.Now())
+	connections := leastBound(backend.Connections, s.core.Document().MaxConnections(tiller.Service(s.settings.Service)))
 
 	s.gate.Do(func(c *limiter.Core) {
 		c.Configure(limiter.Options{
-			Slots: slots, QueueLength: int(own.Value(tiller.SettingQueueLength)), QueueTimeout: own.Millis(tiller.SettingQueueTimeoutMs),
+			Slots: backend.Slots, Connections: connections,
+			QueueLength: int(own.Value(tiller.SettingQueueLength)), QueueTimeout: own.Millis(tiller.SettingQueueTimeoutMs),
 		})
 	})
 }
 
+// leastBound returns the smaller of two bounds, where zero means no bound.
+func leastBound(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+
+	return min(a, b)
+}
+
 func (s *Server) tick() {
 	s.mu.Lock()
 	backend := s.registrar.Backend(s.clock.Now())
