Let all nodes agree on an entry that its node has issued twice

Cause: a node that starts twice with its clock set back corrects its incarnation to the same number both times. Two entries with equal incarnation and sequence but other content then stand in the tables of different nodes for ever: neither replaces the other, and the tables' digests, which left the content out, are equal. Ruled out: lost or reordered messages; the model heals the network before it compares. Change: equal entries are ordered by a hash of their content, which the digests cover too; the node hears the one that is preferred and raises its sequence above it.

--- a/membership/detector/table.go
+++ b/membership/detector/table.go
@@ -125,6 +125,27 @@
 	_, _ = d.WriteString(e.GetName())
 	_, _ = d.Write(b[:])
 
+	return d.Sum64() + contentHash(e)
+}
+
+// contentHash covers what a node tells of itself beside the order of its entries.
+func contentHash(e *wire.NodeEntry) uint64 {
+	d := xxhash.New()
+
+	for _, text := range []string{e.GetDataCentre(), e.GetAddress(), e.GetCallAddress(), e.GetService(), e.GetInstance()} {
+		_, _ = d.WriteString(text)
+		_, _ = d.Write([]byte{0})
+	}
+
+	var b [40]byte
+
+	binary.BigEndian.PutUint64(b[0:], uint64(e.GetState()))
+	binary.BigEndian.PutUint64(b[8:], uint64(e.GetSlots()))
+	binary.BigEndian.PutUint64(b[16:], uint64(e.GetConnections()))
+	binary.BigEndian.PutUint64(b[24:], uint64(e.GetReadySince()))
+	binary.BigEndian.PutUint64(b[32:], uint64(e.GetColdUntil()))
+	_, _ = d.Write(b[:])
+
 	return d.Sum64()
 }
 
@@ -132,13 +153,19 @@
 	return e.GetLiveness() == wire.Liveness_LIVENESS_DEAD || e.GetLiveness() == wire.Liveness_LIVENESS_LEFT
 }
 
-// newer reports whether an entry replaces another one of the same node.
+// newer reports whether an entry replaces another one of the same node. A node whose clock was set back may start twice with the
+// same incarnation; all nodes then prefer the same one of the two entries, so that the node hears of it and can refute it.
 func newer(e, old *wire.NodeEntry) bool {
-	return cmp.Or(
+	order := cmp.Or(
 		cmp.Compare(e.GetIncarnation(), old.GetIncarnation()),
 		cmp.Compare(e.GetSequence(), old.GetSequence()),
 		cmp.Compare(e.GetLiveness(), old.GetLiveness()),
-	) > 0
+	)
+	if order != 0 {
+		return order > 0
+	}
+
+	return e != old && contentHash(e) > contentHash(old)
 }
 
 func withLiveness(e *wire.NodeEntry, l wire.Liveness) *wire.NodeEntry {
