Know a key again that comes through a node of another service

Cause: put the calling service into the digest of a request; the claim of a key uses the same digest, so that a resend through a VM whose worker offers another service was refused as a key used for another request. Test first: TestKeyIsKnownThroughNodesOfOtherServices, with claims that compare digests as the real ones do. Change: the claim's digest leaves the calling service out.

--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -201,6 +201,18 @@
 	require.Equal(t, "may_have_run", send(t, nodes[3], "PUT", "/calls/crash", "", "another body").verdict)
 }
 
+// TestKeyIsKnownThroughNodesOfOtherServices sends a keyed request again through a VM whose worker offers another service.
+func TestKeyIsKnownThroughNodesOfOtherServices(t *testing.T) {
+	nodes := newNodes(t, ok, ok)
+	nodes[1].forward.Service = "talent"
+	key := standin.NewKey(centre)
+
+	require.Equal(t, "ran", send(t, nodes[0], "POST", "/auditions", key, "body").verdict)
+	require.Equal(t, "ran", send(t, nodes[1], "POST", "/auditions", key, "body").verdict)
+	require.Equal(t, "key_reused", send(t, nodes[1], "POST", "/auditions", key, "another body").reason)
+	require.Equal(t, 1, runs(nodes))
+}
+
 // TestEjectionIsOnTheTimeLine fails one worker until it is left out, as the document in force says.
 func TestEjectionIsOnTheTimeLine(t *testing.T) {
 	nodes := newNodes(t, truncate)
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -193,7 +193,8 @@
 		return nil, err
 	}
 
-	digest := []byte(quarantiner.DigestOf(q.origin, q.method, q.target, "", q.body.kept))
+	// The caller may send the key again through a node of another service.
+	digest := []byte(quarantiner.DigestOf("", q.method, q.target, "", q.body.kept))
 
 	result := f.Claims.Take(ctx, key, digest, q.attempt)
 	if result.Verdict() != wire.ClaimVerdict_CLAIM_VERDICT_GRANTED {
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -70,9 +70,10 @@
 
 func (n *fakeNode) Lift(d quarantiner.Digest) { n.register.Lift(d) }
 
-// fakeClaims grants each key once.
+// fakeClaims grants each key once and only for one request.
 type fakeClaims struct {
 	mu      sync.Mutex
+	digests map[string]string
 	owner   map[string]string
 	answers map[string]*wire.Answer
 	verdict wire.ClaimVerdict
@@ -94,12 +95,15 @@
 
 	switch {
 	case verdict != wire.ClaimVerdict_CLAIM_VERDICT_UNSPECIFIED:
+	case c.owner[key.String()] != "" && c.digests[key.String()] != string(digest):
+		verdict = wire.ClaimVerdict_CLAIM_VERDICT_MISMATCH
 	case c.answers[key.String()] != nil:
 		verdict = wire.ClaimVerdict_CLAIM_VERDICT_COMPLETED
 	case c.owner[key.String()] != "":
 		verdict = wire.ClaimVerdict_CLAIM_VERDICT_TAKEN
 	default:
 		c.owner[key.String()] = attempt
+		c.digests[key.String()] = string(digest)
 		verdict = wire.ClaimVerdict_CLAIM_VERDICT_GRANTED
 	}
 
@@ -150,7 +154,7 @@
 
 	nodes := make([]*fakeNode, 0, len(handlers))
 	register := quarantiner.New()
-	claims := &fakeClaims{owner: map[string]string{}, answers: map[string]*wire.Answer{}}
+	claims := &fakeClaims{owner: map[string]string{}, digests: map[string]string{}, answers: map[string]*wire.Answer{}}
 
 	for i, h := range handlers {
 		nodes = append(nodes, newNode(t, i, h, register, claims))
