Soak the real programs as separate processes behind proxies

Cause: nothing ran the programs under faults from outside: signals in series, paths that are delayed, silent one way or reset, torn logs, lost disks. Change: internal/soak builds node and controller, puts a loopback proxy before each process and draws faults from a seed; it checks what callers, backend servers and operators see (whole answers, keys once, not run, versions never back, acknowledged edits in force everywhere, confirmed reads never older, served again). A process may listen on another host than others send to (bind_host). make test plays one seed, make soak fifty. Clocks cannot be stepped from outside without privileges; that stays with the tests in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,14 @@
 test: lint
 	CGO_ENABLED=1 $(GO) test -race -count=1 $(PACKAGES)
 
+SEEDS ?= 50
+FIRST ?= 1
+LENGTH ?= 15s
+
+.PHONY: soak
+soak:
+	$(GO) test ./internal/soak -count=1 -timeout 4h -v -seeds $(SEEDS) -first $(FIRST) -length $(LENGTH)
+
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT)
 	@set -e; for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint-$(GOLANGCI_LINT) fmt --diff ./... && $(TOOLS)/golangci-lint-$(GOLANGCI_LINT) run ./...); done
--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,251 @@
+package soak_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	controlPort = "7100"
+	callPort    = "7101"
+	backendPort = "7102"
+
+	dataCentres = 3
+	heartbeatMs = 100
+	noticeMs    = 300
+	drainMs     = 4000
+	callerPause = 20 * time.Millisecond
+	callers     = 12
+	slots       = 6
+	restartIn   = 300 * time.Millisecond
+	serviceTime = 15 * time.Millisecond
+)
+
+// fleet is the system as separate processes, each behind a proxy, with stand-ins for backend servers and callers round it.
+type fleet struct {
+	folder      string
+	controllers []*process
+	nodes       []*process
+	backends    []*standin.Backend
+	proxies     []*proxy
+	ledger      *standin.Ledger
+	tally       *standin.Tally
+	client      *editor.Client
+	wait        sync.WaitGroup
+}
+
+// build compiles the programs into a folder.
+func build(folder string) error {
+	out, err := exec.Command("go", "build", "-o", folder+string(os.PathSeparator),
+		"gitlab.com/sycamoretiller/sycamoretiller/cmd/controller", "gitlab.com/sycamoretiller/sycamoretiller/cmd/node").CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+
+	return nil
+}
+
+// told is the host that others send to, bound the one that a process listens on.
+func told(dc, slot int) string  { return fmt.Sprintf("127.6.%d.%d", dc, slot) }
+func bound(dc, slot int) string { return fmt.Sprintf("127.7.%d.%d", dc, slot) }
+
+const controllerSlot = 200
+
+func controllerAddresses() []string {
+	var out []string
+	for dc := 1; dc <= dataCentres; dc++ {
+		out = append(out, told(dc, controllerSlot)+":"+controlPort)
+	}
+
+	return out
+}
+
+// newFleet writes settings and opens the proxies of three controllers and a number of nodes.
+func newFleet(programs, folder string, nodes int) (*fleet, error) {
+	f := &fleet{folder: folder, ledger: standin.NewLedger()}
+	f.tally = standin.NewTally(f.ledger)
+
+	var bind []tiller.Address
+
+	for dc := 1; dc <= dataCentres; dc++ {
+		settings := map[string]any{
+			"name": fmt.Sprintf("controller-%d", dc), "data_centre": fmt.Sprintf("dc-%d", dc), "address": told(dc, controllerSlot) + ":" + controlPort,
+			"bind_host": bound(dc, controllerSlot), "peers": controllerAddresses(), "initial_voters": controllerAddresses(),
+			"data_folder": filepath.Join(folder, fmt.Sprintf("data-%d", dc)), "heartbeat_ms": heartbeatMs,
+		}
+
+		p, err := f.add(filepath.Join(programs, "controller"), settings, dc, controllerSlot, controlPort)
+		if err != nil {
+			return f, err
+		}
+
+		f.controllers = append(f.controllers, p)
+		bind = append(bind, tiller.Address(bound(dc, controllerSlot)+":"+controlPort))
+	}
+
+	f.client = editor.New(bind)
+
+	for i := range nodes {
+		if err := f.addNode(programs, i); err != nil {
+			return f, err
+		}
+	}
+
+	return f, nil
+}
+
+func place(i int) (dc, slot int) { return i%dataCentres + 1, i/dataCentres + 1 }
+
+func (f *fleet) addNode(programs string, i int) error {
+	dc, slot := place(i)
+	service := []string{"casting-board", "talent-index"}[slot%2]
+
+	p, err := f.add(filepath.Join(programs, "node"), map[string]any{
+		"name": fmt.Sprintf("node-%d-%d", dc, slot), "data_centre": fmt.Sprintf("dc-%d", dc), "service": service,
+		"address": told(dc, slot) + ":" + controlPort, "call_address": told(dc, slot) + ":" + callPort, "bind_host": bound(dc, slot),
+		"controllers": controllerAddresses(), "seeds": []string{told(1, 1) + ":" + controlPort, told(2, 1) + ":" + controlPort},
+		"leave_notice_ms": noticeMs, "drain_ms": drainMs,
+	}, dc, slot, controlPort, callPort)
+	if err != nil {
+		return err
+	}
+
+	f.nodes = append(f.nodes, p)
+	f.backends = append(f.backends, standin.NewBackend(standin.BackendOptions{
+		Worker: tiller.Worker(p.name), Service: tiller.Service(service), Address: bound(dc, slot) + ":" + backendPort,
+		NodeControl: bound(dc, slot) + ":" + controlPort, Slots: slots, Connections: 10 * slots, ServiceTime: serviceTime,
+		RestartIn: restartIn, Ledger: f.ledger,
+	}))
+
+	return nil
+}
+
+func (f *fleet) add(program string, settings map[string]any, dc, slot int, ports ...string) (*process, error) {
+	name, ok := settings["name"].(string)
+	if !ok {
+		return nil, errors.New("a process needs a name")
+	}
+
+	p, err := newProcess(name, program, f.folder, settings)
+	if err != nil {
+		return nil, err
+	}
+
+	p.proxy, err = newProxy(told(dc, slot), bound(dc, slot), ports...)
+	if err != nil {
+		return nil, err
+	}
+
+	f.proxies = append(f.proxies, p.proxy)
+
+	return p, nil
+}
+
+func (f *fleet) processes() []*process {
+	return append(append([]*process(nil), f.controllers...), f.nodes...)
+}
+
+// start runs everything and applies the first document.
+func (f *fleet) start(ctx context.Context) error {
+	for _, p := range f.processes() {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+
+	for _, b := range f.backends {
+		f.wait.Go(func() { _ = b.Run(ctx) })
+	}
+
+	return f.first(ctx)
+}
+
+// first sends the first document until it is accepted.
+func (f *fleet) first(ctx context.Context) error {
+	edit, err := editor.NewEdit(document(1000), tiller.Version{}, "soak", "first document of the run")
+	if err != nil {
+		return err
+	}
+
+	for ctx.Err() == nil {
+		if r, err := f.client.Apply(ctx, edit); err == nil && r.GetOutcome().GetAccepted() {
+			return nil
+		}
+	}
+
+	return ctx.Err()
+}
+
+// call runs callers that send through every node until the context ends.
+func (f *fleet) call(ctx context.Context) {
+	var targets []standin.Target
+
+	for i := range f.nodes {
+		dc, slot := place(i)
+		targets = append(targets, standin.Target{
+			DataCentre: tiller.DataCentre(fmt.Sprintf("dc-%d", dc)), Address: tiller.Address(told(dc, slot) + ":" + callPort),
+		})
+	}
+
+	scripts := []standin.Script{
+		{Name: "browse", Method: "GET", Path: "/calls/open", Weight: 5},
+		{Name: "submit", Method: "POST", Path: "/auditions", Keyed: true, Weight: 3},
+		{Name: "profile", Method: "GET", Path: "/profiles/7", Weight: 2},
+	}
+	c := standin.NewCallers(scripts, targets, f.tally)
+
+	for range callers {
+		f.wait.Go(func() { c.Run(ctx, callerPause) })
+	}
+}
+
+// document returns the operators' document; the timeout tells its versions apart.
+func document(timeoutMs int64) tiller.DocumentSpec {
+	return tiller.DocumentSpec{
+		Defaults: map[string]int64{"call_timeout_ms": timeoutMs, "slow_start_ms": 500},
+		Services: []tiller.ServiceSpec{{Name: "casting-board"}, {Name: "talent-index"}},
+		Routes: []tiller.RouteSpec{
+			{Name: "browse", Method: "GET", PathPrefix: "/calls", Service: "casting-board", Class: "interactive", Idempotent: true},
+			{Name: "submit", Method: "POST", PathPrefix: "/auditions", Service: "casting-board", Class: "interactive", AtMostOnce: true},
+			{Name: "profile", Method: "GET", PathPrefix: "/profiles", Service: "talent-index", Class: "patient", Idempotent: true},
+		},
+	}
+}
+
+// timeoutOf returns what tells the versions of the document apart.
+func timeoutOf(items []*wire.Item) int64 {
+	spec, err := encoder.Decode(items)
+	if err != nil {
+		return 0
+	}
+
+	return spec.Defaults["call_timeout_ms"]
+}
+
+// stop ends every process by its id and closes the proxies.
+func (f *fleet) stop() error {
+	for _, p := range f.processes() {
+		p.kill()
+	}
+
+	f.wait.Wait()
+
+	var errs []error
+	for _, p := range f.proxies {
+		errs = append(errs, p.close())
+	}
+
+	return errors.Join(errs...)
+}
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 
-	transport, err := transporter.New(tiller.Address(settings.Address), hybrid, options.Filter, options.Metrics, options.Log)
+	transport, err := transporter.New(tiller.Address(settings.Address), settings.BindHost, hybrid, options.Filter, options.Metrics, options.Log)
 	if err != nil {
 		return nil, errors.Join(err, s.journal.Close())
 	}
@@ -96,13 +96,13 @@
 	s.transport = transport
 	transport.Attach(tiller.ReceiverFunc(func(e *wire.Envelope) { s.step(controller.Receive{Envelope: e}) }))
 
-	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", settings.Address)
+	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", transporter.Bound(settings.Address, settings.BindHost))
 	if err != nil {
 		return nil, errors.Join(eris.Wrap(err, "listen"), s.journal.Close(), transport.Close(context.Background()))
 	}
 
 	if settings.MetricsAddress != "" {
-		s.monitoring, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", settings.MetricsAddress)
+		s.monitoring, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", transporter.Bound(settings.MetricsAddress, settings.BindHost))
 		if err != nil {
 			return nil, errors.Join(eris.Wrap(err, "listen"), s.journal.Close(), transport.Close(context.Background()), s.listener.Close())
 		}
--- a/process/controlserver/settings.go
+++ b/process/controlserver/settings.go
@@ -17,6 +17,9 @@
 	DataCentre string `yaml:"data_centre"`
 	// Address takes messages from other processes and operators over TCP and UDP.
 	Address string `yaml:"address"`
+	// BindHost is the IP number that the process listens on where it differs from the one that others send to, such as behind address
+	// translation; empty means the same.
+	BindHost string `yaml:"bind_host"`
 	// Peers are the addresses of the other controllers.
 	Peers []string `yaml:"peers"`
 	// DataFolder holds the log and the snapshots.
@@ -57,6 +60,10 @@
 		fault("address", err.Error())
 	}
 
+	if err := transporter.CheckHost(s.BindHost); err != nil {
+		fault("bind_host", err.Error())
+	}
+
 	if s.MetricsAddress != "" {
 		if err := transporter.CheckAddress(s.MetricsAddress); err != nil {
 			fault("metrics_address", err.Error())
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -17,7 +17,9 @@
 )
 
 func (s *Server) listen() error {
-	transport, err := transporter.New(tiller.Address(s.settings.Address), s.hybrid, s.options.Filter, s.options.Metrics, s.options.Log)
+	transport, err := transporter.New(
+		tiller.Address(s.settings.Address), s.settings.BindHost, s.hybrid, s.options.Filter, s.options.Metrics, s.options.Log,
+	)
 	if err != nil {
 		return err
 	}
@@ -34,7 +36,7 @@
 			continue
 		}
 
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", transporter.Bound(address, s.settings.BindHost))
 		if err != nil {
 			return errors.Join(eris.Wrap(err, "listen"), s.closeSockets())
 		}
--- a/process/nodeserver/settings.go
+++ b/process/nodeserver/settings.go
@@ -28,6 +28,9 @@
 	MonitorAddress string `yaml:"monitor_address"`
 	// MetricsAddress serves the same as the monitor address at a second place; empty means none.
 	MetricsAddress string `yaml:"metrics_address"`
+	// BindHost is the IP number that the process listens on where it differs from the one that others send to, such as behind address
+	// translation; empty means the same.
+	BindHost string `yaml:"bind_host"`
 	// BackendAddress is where the backend server listens; empty means that its announcements tell.
 	BackendAddress string `yaml:"backend_address"`
 	// AnnounceLeaseMs is how long an announcement of the backend server holds without another one, in milliseconds.
@@ -80,6 +83,10 @@
 		}
 	}
 
+	if err := transporter.CheckHost(s.BindHost); err != nil {
+		fault("bind_host", err.Error())
+	}
+
 	check("address", s.Address)
 	check("call_address", s.CallAddress)
 
--- a/process/nodeserver/settings_test.go
+++ b/process/nodeserver/settings_test.go
@@ -29,6 +29,7 @@
 		{"wrong unit", validSettings + "drain_ms: 5s\n", "drain_ms"},
 		{"bad address", validSettings + "seeds: [10.0.0.1]\n", ":7: seeds[0]"},
 		{"missing data centre", "name: a\nservice: b\naddress: 1.1.1.1:1\ncall_address: 1.1.1.1:2\ncontrollers: [1.1.1.1:3]\n", "data_centre"},
+		{"bind host with a port", validSettings + "bind_host: 10.0.0.1:80\n", "bind_host"},
 		{"two documents", validSettings + "---\nname: b\n", "more than one"},
 		{"empty", "", "empty"},
 	}
--- a/process/transporter/address.go
+++ b/process/transporter/address.go
@@ -1,6 +1,7 @@
 package transporter
 
 import (
+	"net"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +23,29 @@
 	return nil
 }
 
+// Bound returns where a process listens for what others send to an address: on the bind host if there is one.
+func Bound(address, bindHost string) string {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil || bindHost == "" {
+		return address
+	}
+
+	return net.JoinHostPort(bindHost, port)
+}
+
+// CheckHost returns an error unless the text is empty or an IP number.
+func CheckHost(host string) error {
+	if host == "" {
+		return nil
+	}
+
+	if _, err := netip.ParseAddr(host); err != nil {
+		return eris.Errorf("%q is not an IP number, such as 10.0.0.1", host)
+	}
+
+	return nil
+}
+
 // Addresses converts checked texts.
 func Addresses(texts []string) []tiller.Address {
 	out := make([]tiller.Address, 0, len(texts))
--- a/process/transporter/transporter.go
+++ b/process/transporter/transporter.go
@@ -77,9 +77,12 @@
 // Filter tells whether a message may pass between two addresses; tests and demonstrations cut networks with it.
 type Filter func(from, to tiller.Address) bool
 
-// New opens the datagram socket. The receiver is set with Attach before Run.
-func New(address tiller.Address, clock *recorder.HybridClock, filter Filter, registry metrics.Registry, log logr.Logger) (*Transporter, error) {
-	udp, err := net.ResolveUDPAddr("udp", string(address))
+// New opens the datagram socket of a process that others know by an address, on the bind host if there is one. The receiver is set
+// with Attach before Run.
+func New(
+	address tiller.Address, bindHost string, clock *recorder.HybridClock, filter Filter, registry metrics.Registry, log logr.Logger,
+) (*Transporter, error) {
+	udp, err := net.ResolveUDPAddr("udp", Bound(string(address), bindHost))
 	if err != nil {
 		return nil, eris.Wrapf(err, "address %s", address)
 	}
