Decode only the items that a version changes

Cause: a node decoded all items of each version again: 16.7 ms of processor time for a change of one item in a document of 1,600 routes, 0.1 s on a VM with 0.16 of a core, at each level of the tree, and several times a second while changes follow each other. Ruled out: hashing (0.7 ms), validation (2.3 ms), the routing table (0.5 ms). Change: a holder's decoder remembers what the items of the version before say.

--- a/distribution/holder/holder.go
+++ b/distribution/holder/holder.go
@@ -27,13 +27,14 @@
 type Holder struct {
 	current  revision
 	document tiller.Document
+	decoder  *encoder.Decoder
 	recent   []revision
 	keep     int
 }
 
 // New returns a holder that remembers a number of predecessors to compute differences from.
 func New(keep int) *Holder {
-	return &Holder{keep: keep}
+	return &Holder{keep: keep, decoder: encoder.NewDecoder()}
 }
 
 // Version returns the newest version.
@@ -54,7 +55,7 @@
 		return eris.Wrapf(ErrStale, "have %s, got %s", h.current.version, version)
 	}
 
-	spec, err := encoder.Decode(items)
+	spec, err := h.decoder.Decode(items)
 	if err != nil {
 		return eris.Wrapf(err, "version %s", version)
 	}
--- a/document/encoder/encoder.go
+++ b/document/encoder/encoder.go
@@ -2,7 +2,6 @@
 package encoder
 
 import (
-	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
@@ -10,7 +9,6 @@
 	"errors"
 	"io"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -69,75 +67,6 @@
 	return items, errs
 }
 
-// Decode returns the document that the items make up.
-func Decode(items []*wire.Item) (tiller.DocumentSpec, error) {
-	spec := tiller.DocumentSpec{Defaults: map[string]int64{}}
-
-	for _, item := range items {
-		if err := decodeItem(&spec, item); err != nil {
-			return tiller.DocumentSpec{}, eris.Wrapf(err, "decode item %q", item.GetPath())
-		}
-	}
-
-	return spec, nil
-}
-
-func decodeItem(spec *tiller.DocumentSpec, item *wire.Item) error {
-	path := item.GetPath()
-
-	switch {
-	case path == revisionPath:
-		return unmarshal(item.GetValue(), &spec.Revision)
-	case strings.HasPrefix(path, defaultPrefix):
-		var v int64
-		if err := unmarshal(item.GetValue(), &v); err != nil {
-			return err
-		}
-
-		spec.Defaults[strings.TrimPrefix(path, defaultPrefix)] = v
-
-		return nil
-	case strings.HasPrefix(path, servicePrefix):
-		return decodeInto(&spec.Services, item, servicePrefix, func(s tiller.ServiceSpec) string { return s.Name })
-	case strings.HasPrefix(path, routePrefix):
-		return decodeInto(&spec.Routes, item, routePrefix, func(r tiller.RouteSpec) string { return r.Name })
-	case strings.HasPrefix(path, exceptionPrefix):
-		return decodeInto(&spec.Exceptions, item, exceptionPrefix, func(e tiller.ExceptionSpec) string { return e.Name })
-	default:
-		return eris.New("unknown kind")
-	}
-}
-
-func decodeInto[T any](list *[]T, item *wire.Item, prefix string, name func(T) string) error {
-	var v T
-	if err := unmarshal(item.GetValue(), &v); err != nil {
-		return err
-	}
-
-	if prefix+name(v) != item.GetPath() {
-		return eris.Errorf("holds %q", name(v))
-	}
-
-	*list = append(*list, v)
-
-	return nil
-}
-
-func unmarshal(data []byte, v any) error {
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-
-	if err := d.Decode(v); err != nil {
-		return eris.Wrap(err, "unmarshal")
-	}
-
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return eris.New("data after the value")
-	}
-
-	return nil
-}
-
 // Revision returns the operators' own number among the items, zero if they keep none.
 func Revision(items []*wire.Item) uint64 {
 	i, ok := slices.BinarySearchFunc(items, revisionPath, func(item *wire.Item, path string) int { return cmp.Compare(item.GetPath(), path) })
