Let calls ask near gates for a free slot before they wait

Change: an attempt may say that it does not want to wait; up to three near gates are asked so. A gate that asked no server does not count for or against its worker's failure rate.

--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -3,6 +3,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -35,7 +36,8 @@
 	failureHalfLife = 4000.0
 	paceWeight      = 64
 	defaultPace     = 100
-	choices         = 2
+	// Choices is how many candidates are compared unless a policy says otherwise.
+	Choices = 2
 	// coldShare is the part of its usual load that a server takes while it says that it is slow.
 	coldShare = 0.5
 	// maxColdLeft tells a cold server from one whose node's clock is ahead.
@@ -48,6 +50,8 @@
 	EjectAfterFailures int
 	EjectFor           tiller.Millis
 	MaxEjectedPercent  int
+	// Choices is how many candidates are compared, zero for the default.
+	Choices int
 	// Comfort is the expected time up to which a near worker is good enough, zero if unknown.
 	Comfort tiller.Millis
 }
@@ -181,7 +185,7 @@
 
 	best, cost := candidates[0], b.cost(now, candidates[0], p)
 
-	for _, c := range candidates[1:min(choices, len(candidates))] {
+	for _, c := range candidates[1:min(cmp.Or(p.Choices, Choices), len(candidates))] {
 		if other := b.cost(now, c, p); other < cost {
 			best, cost = c, other
 		}
@@ -296,10 +300,14 @@
 	return false
 }
 
-// noteFailure averages how often a worker fails; a gate that has no room has not failed.
+// noteFailure averages how often a worker fails; a gate that asked no server says nothing about it.
 func (o *observation) noteFailure(now tiller.Millis, err *tiller.CallError) {
+	if err != nil && err.Untried() {
+		return
+	}
+
 	sample := 0.0
-	if err != nil && !err.Untried() && err.Reason() != tiller.ReasonDraining && err.Reason() != tiller.ReasonCancelled {
+	if err != nil && err.Reason() != tiller.ReasonDraining && err.Reason() != tiller.ReasonCancelled {
 		sample = 1
 	}
 
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -67,28 +67,32 @@
 func (f *Forwarder) attempt(ctx context.Context, c *call) (*Answer, *tiller.CallError) {
 	f.Budget.Note(f.Clock.Now(), c.request.service)
 
-	tried := tiller.NewSet[tiller.Worker]()
+	search := newSearch(c)
 
 	var last *tiller.CallError
 
 	for {
-		if c.request.service == f.Service {
-			f.Balancer.Report(f.Clock.Now(), f.Name, balancer.NewLoad(f.Gate.Load()))
-		}
-
-		backend, ok := f.Balancer.Pick(f.Clock.Now(), c.table.Candidates(c.request.service), tried, f.placing(c)).Get()
+		backend, noWait, ok := f.pick(c, search)
 		if !ok {
 			return nil, noWorker(c, last)
 		}
 
-		tried.Add(backend.Worker())
 		c.attempts.Begin()
 
-		answer, err := f.attemptAt(ctx, c, backend)
+		answer, err := f.attemptAt(ctx, c, backend, noWait)
 		if err == nil {
 			return answer, nil
 		}
 
+		if err.Reason() == tiller.ReasonNoSlot && ctx.Err() == nil {
+			search.full(backend.Worker())
+			c.attempts.Undo()
+
+			continue
+		}
+
+		search.failed(backend.Worker())
+
 		last = moreSevere(last, err)
 		if ctx.Err() != nil || !c.request.body.resendable() || !c.attempts.Retry(err) {
 			return nil, last
@@ -136,8 +140,9 @@
 	return notRun(tiller.ReasonNoBackend, "no backend server of "+string(c.request.service)+" is known and ready").WithRetryAfter(tiller.Second)
 }
 
-func (f *Forwarder) attemptAt(ctx context.Context, c *call, backend tiller.Backend) (*Answer, *tiller.CallError) {
+func (f *Forwarder) attemptAt(ctx context.Context, c *call, backend tiller.Backend, noWait bool) (*Answer, *tiller.CallError) {
 	q := *c.request
+	q.noWait = noWait
 	q.attempt = uuid.NewString()
 	q.chainLeft = c.attempts.ChainLeft()
 	q.strikes = f.Register.Count(q.digest)
@@ -245,5 +250,9 @@
 		h.Set(HeaderAtMostOnce, "true")
 	}
 
+	if q.noWait {
+		h.Set(HeaderNoWait, "true")
+	}
+
 	return h
 }
--- a/calls/forwarder/dialect.go
+++ b/calls/forwarder/dialect.go
@@ -98,6 +98,7 @@
 	tiller.ReasonRequestMalformed: http.StatusBadRequest,
 	tiller.ReasonCancelled:        http.StatusServiceUnavailable,
 	tiller.ReasonNotReady:         http.StatusServiceUnavailable,
+	tiller.ReasonNoSlot:           http.StatusServiceUnavailable,
 }
 
 // Refuse formats a refusal for callers.
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -84,8 +84,8 @@
 		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), body: body,
 		route: r.Header.Get(HeaderRoute), service: f.Service, origin: tiller.Service(r.Header.Get(HeaderOrigin)),
 		priority: int(headerInt(r.Header, HeaderPriority, 0)), aim: aimFrom(f.Clock.Now(), r.Header), deadline: deadline,
-		atMostOnce: r.Header.Get(HeaderAtMostOnce) != "",
-		id:         terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
+		atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", noWait: r.Header.Get(HeaderNoWait) != "",
+		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
 		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
 		digest: quarantiner.DigestOf(tiller.Service(r.Header.Get(HeaderOrigin)), r.Method, rawTarget(r), terms.Key(), body.kept),
 	}, nil
@@ -101,7 +101,12 @@
 }
 
 func (q *request) demand() limiter.Demand {
-	return limiter.NewDemand(q.priority, q.deadline).WithAim(q.aim).WithKind(q.route)
+	d := limiter.NewDemand(q.priority, q.deadline).WithAim(q.aim).WithKind(q.route)
+	if q.noWait {
+		return d.WithoutWait()
+	}
+
+	return d
 }
 
 // admit runs the request on this worker's backend server, or refuses it. The slot is held until the answer is passed on.
--- a/calls/forwarder/header.go
+++ b/calls/forwarder/header.go
@@ -43,6 +43,8 @@
 	HeaderOrigin = "Tiller-Origin"
 	// HeaderPriority carries the rank of a call between nodes.
 	HeaderPriority = "Tiller-Priority"
+	// HeaderNoWait marks attempts between nodes that only want a slot that is free.
+	HeaderNoWait = "Tiller-No-Wait"
 	// HeaderAim carries the milliseconds in which an answer has its full worth between nodes; it may be negative.
 	HeaderAim = "Tiller-Aim-Ms"
 	// HeaderRoute names the route between nodes.
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -36,7 +36,14 @@
 
 // gateRefused tells why the gate of this worker refused an attempt that another node sent.
 func (l callLog) gateRefused(q *request, err *tiller.CallError, load, limit int, pace tiller.Millis) {
-	l.log.Info("attempt refused", "id", q.id, "attempt", q.attempt, "route", q.route, "priority", q.priority,
+	line := l.log
+
+	// The sender asks elsewhere or comes back to wait; with many calls nearly each of them asks in vain once.
+	if err.Reason() == tiller.ReasonNoSlot {
+		line = line.V(detailLevel)
+	}
+
+	line.Info("attempt refused", "id", q.id, "attempt", q.attempt, "route", q.route, "priority", q.priority,
 		"time_left_ms", int64(q.deadline-l.clock.Now()), "verdict", err.Verdict().String(), "reason", err.Reason().String(),
 		"detail", err.Detail(), "load", load, "limit", limit, "pace_ms", int64(pace))
 }
--- a/calls/forwarder/request.go
+++ b/calls/forwarder/request.go
@@ -44,6 +44,8 @@
 	cause     string
 	chainLeft int
 	strikes   int
+	// noWait makes the gate refuse the request where no slot is free.
+	noWait bool
 	// digest identifies the request across resends.
 	digest quarantiner.Digest
 }
--- /dev/null
+++ b/calls/forwarder/search.go
@@ -0,0 +1,78 @@
+package forwarder
+
+import (
+	"slices"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/balancer"
+)
+
+const (
+	// maxAsked is how many gates are asked for a free slot before a call waits at one of them. A node of a large fleet hears from
+	// each gate too seldom to know which has room; asking costs a round trip, waiting at the wrong one a whole request.
+	maxAsked = 3
+	// maxAskedBytes is the largest body that is sent to a gate only to ask; above it the bytes cost more than the wait.
+	maxAskedBytes = 8 << 10
+)
+
+// search is how far a call has got in finding a worker: first it asks a few near gates for a free slot, then it waits where it
+// expects to be served first.
+type search struct {
+	asked int
+	// busy holds the workers without a free slot.
+	busy tiller.Set[tiller.Worker]
+	// tried holds the workers that failed or refused.
+	tried tiller.Set[tiller.Worker]
+}
+
+func newSearch(c *call) *search {
+	s := &search{busy: tiller.NewSet[tiller.Worker](), tried: tiller.NewSet[tiller.Worker]()}
+
+	// A body that can be sent only once goes to a gate that may let it wait.
+	if body := c.request.body; body.rest != nil || len(body.kept) > maxAskedBytes {
+		s.asked = maxAsked
+	}
+
+	return s
+}
+
+// full notes that a gate had no free slot.
+func (s *search) full(w tiller.Worker) {
+	s.asked++
+	s.busy.Add(w)
+}
+
+// failed notes that a worker is not to be tried again.
+func (s *search) failed(w tiller.Worker) { s.tried.Add(w) }
+
+// pick returns the worker for the next attempt, and whether the attempt only asks for a free slot.
+func (f *Forwarder) pick(c *call, s *search) (backend tiller.Backend, noWait, ok bool) {
+	now := f.Clock.Now()
+	if c.request.service == f.Service {
+		f.Balancer.Report(now, f.Name, balancer.NewLoad(f.Gate.Load()))
+	}
+
+	candidates, policy := c.table.Candidates(c.request.service), f.placing(c)
+
+	// Asking elsewhere would cost bytes between data centres where waiting nearby is often as good.
+	if s.asked < maxAsked {
+		if backend, ok = f.Balancer.Pick(now, f.near(candidates), union(s.tried, s.busy), policy).Get(); ok {
+			return backend, true, true
+		}
+	}
+
+	// The answers of the gates that were asked are the newest figures there are, so that these are worth comparing.
+	policy.Choices = balancer.Choices + s.busy.Len()
+	backend, ok = f.Balancer.Pick(now, candidates, s.tried, policy).Get()
+
+	return backend, false, ok
+}
+
+// near returns the candidates of the node's own data centre.
+func (f *Forwarder) near(candidates []balancer.Candidate) []balancer.Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c balancer.Candidate) bool { return c.Backend().DataCentre() != f.DataCentre })
+}
+
+func union(a, b tiller.Set[tiller.Worker]) tiller.Set[tiller.Worker] {
+	return tiller.NewSet(append(a.Sorted(), b.Sorted()...)...)
+}
--- a/calls/limiter/demand.go
+++ b/calls/limiter/demand.go
@@ -12,6 +12,7 @@
 	deadline tiller.Millis
 	aim      tiller.Millis
 	kind     string
+	noWait   bool
 }
 
 // NewDemand returns the demand of a request that nobody waits for after its deadline; lower priorities are served first.
@@ -33,6 +34,13 @@
 	return d
 }
 
+// WithoutWait returns a copy that is refused where no slot is free, so that it can look for one elsewhere.
+func (d Demand) WithoutWait() Demand {
+	d.noWait = true
+
+	return d
+}
+
 // Ticket is a request that holds or awaits a slot.
 type Ticket struct {
 	demand  Demand
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -81,6 +81,8 @@
 		grant(refusal(tiller.ReasonNoBackend, "the worker has no slots"))
 	case c.inFlight < c.limit && len(c.queue) == 0:
 		c.start(now, t)
+	case d.noWait:
+		grant(refusal(tiller.ReasonNoSlot, "no slot is free now"))
 	default:
 		c.admit(now, t)
 	}
--- a/calls/retrier/retrier.go
+++ b/calls/retrier/retrier.go
@@ -26,6 +26,9 @@
 // Begin counts an attempt.
 func (c *Call) Begin() { c.made++ }
 
+// Undo takes the last attempt back, since it asked no server.
+func (c *Call) Undo() { c.made-- }
+
 // Made returns the number of attempts that were offered to a server.
 func (c *Call) Made() int { return c.made }
 
--- a/reason_enumer.go
+++ b/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_readyrequest_malformed"
+const _ReasonName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_readyrequest_malformedno_slot"
 
-var _ReasonIndex = [...]uint8{0, 8, 18, 26, 34, 42, 56, 67, 78, 89, 100, 110, 120, 131, 148, 164, 180, 197, 206, 215, 232}
+var _ReasonIndex = [...]uint8{0, 8, 18, 26, 34, 42, 56, 67, 78, 89, 100, 110, 120, 131, 148, 164, 180, 197, 206, 215, 232, 239}
 
-const _ReasonLowerName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_readyrequest_malformed"
+const _ReasonLowerName = "no_routeno_backendoverloaddeadlinedrainingbackend_failedunreachablequarantinedkey_missingkey_invalidkey_reusedkey_fencedin_progressclaim_unavailableanswer_truncatedanswer_too_largerequest_too_largecancellednot_readyrequest_malformedno_slot"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -44,9 +44,10 @@
 	_ = x[ReasonCancelled-(17)]
 	_ = x[ReasonNotReady-(18)]
 	_ = x[ReasonRequestMalformed-(19)]
+	_ = x[ReasonNoSlot-(20)]
 }
 
-var _ReasonValues = []Reason{ReasonNoRoute, ReasonNoBackend, ReasonOverload, ReasonDeadline, ReasonDraining, ReasonBackendFailed, ReasonUnreachable, ReasonQuarantined, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyReused, ReasonKeyFenced, ReasonInProgress, ReasonClaimUnavailable, ReasonAnswerTruncated, ReasonAnswerTooLarge, ReasonRequestTooLarge, ReasonCancelled, ReasonNotReady, ReasonRequestMalformed}
+var _ReasonValues = []Reason{ReasonNoRoute, ReasonNoBackend, ReasonOverload, ReasonDeadline, ReasonDraining, ReasonBackendFailed, ReasonUnreachable, ReasonQuarantined, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyReused, ReasonKeyFenced, ReasonInProgress, ReasonClaimUnavailable, ReasonAnswerTruncated, ReasonAnswerTooLarge, ReasonRequestTooLarge, ReasonCancelled, ReasonNotReady, ReasonRequestMalformed, ReasonNoSlot}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     ReasonNoRoute,
@@ -69,6 +70,7 @@
 	_ReasonName[197:206]: ReasonCancelled,
 	_ReasonName[206:215]: ReasonNotReady,
 	_ReasonName[215:232]: ReasonRequestMalformed,
+	_ReasonName[232:239]: ReasonNoSlot,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -92,6 +94,7 @@
 	_ReasonLowerName[197:206]: ReasonCancelled,
 	_ReasonLowerName[206:215]: ReasonNotReady,
 	_ReasonLowerName[215:232]: ReasonRequestMalformed,
+	_ReasonLowerName[232:239]: ReasonNoSlot,
 }
 
 var _ReasonNames = []string{
@@ -115,6 +118,7 @@
 	_ReasonName[197:206],
 	_ReasonName[206:215],
 	_ReasonName[215:232],
+	_ReasonName[232:239],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/verdict.go
+++ b/verdict.go
@@ -47,6 +47,7 @@
 	ReasonCancelled
 	ReasonNotReady
 	ReasonRequestMalformed
+	ReasonNoSlot
 )
 
 // CallError is a refused or failed call.
