Trace a request's id through the logs of all processes

Cause: from an id to its cause an engineer had to search every log and put the lines of several processes in order by hand. Change: tillerctl trace ID LOG... prints the request's way, the calls that its run made and the events about the workers that it met; a refused attempt carries the cause of its chain. process/tracer holds the reading and ordering.

--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -43,7 +43,7 @@
 		line = line.V(detailLevel)
 	}
 
-	line.Info("attempt refused", "id", q.id, "attempt", q.attempt, "route", q.route, "priority", q.priority,
+	line.Info("attempt refused", "id", q.id, "cause", q.cause, "attempt", q.attempt, "route", q.route, "priority", q.priority,
 		"time_left_ms", int64(q.deadline-l.clock.Now()), "verdict", err.Verdict().String(), "reason", err.Reason().String(),
 		"detail", err.Detail(), "load", load, "limit", limit, "pace_ms", int64(pace))
 }
--- a/cmd/tillerctl/main.go
+++ b/cmd/tillerctl/main.go
@@ -30,7 +30,7 @@
 			&cli.StringFlag{Name: "output", Usage: "`FORMAT`: table or json", Value: "table", Validator: oneOf("table", "json")},
 		},
 		Commands: []*cli.Command{
-			configCommand(), statusCommand(), explainCommand(), backendsCommand(), quarantineCommand(), timelineCommand(), recoverCommand(),
+			configCommand(), statusCommand(), explainCommand(), backendsCommand(), quarantineCommand(), timelineCommand(), traceCommand(), recoverCommand(),
 		},
 	}
 }
--- a/cmd/tillerctl/main_test.go
+++ b/cmd/tillerctl/main_test.go
@@ -185,6 +185,9 @@
 		{"faults", []string{"config", "check", invalid}, launcher.ExitBadInput},
 		{"unknown format", []string{"timeline", "--format", "pdf"}, launcher.ExitBadInput},
 		{"unknown flag", []string{"status", "--nope"}, launcher.ExitBadInput},
+		{"trace without a log", []string{"trace", "a1"}, launcher.ExitBadInput},
+		{"trace of a log that is not there", []string{"trace", "a1", "/no/such/file"}, launcher.ExitBadInput},
+		{"trace of an unknown id", []string{"trace", "a1", missing}, launcher.ExitFailed},
 		{"bad digest", []string{"quarantine", "lift", "xyz"}, launcher.ExitBadInput},
 	}
 
@@ -196,6 +199,17 @@
 	}
 }
 
+func TestTrace(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "board-1.log")
+	line := `{"level":"info","ts":"2026-12-04T09:10:00Z","msg":"call refused","id":"a1","cause":"a1","reason":"overload"}` + "\n"
+	require.NoError(t, os.WriteFile(path, []byte(line), 0o600))
+
+	out, code := tillerctl(t, "trace", "a1", path)
+	require.Zero(t, code)
+	require.Contains(t, out, "board-1")
+	require.Contains(t, out, "reason=overload")
+}
+
 func TestFaultsNameFileAndLine(t *testing.T) {
 	path := writeFile(t, `services:
   - name: board
