Let lost messages hold no node back

Cause: a lost offer or pull was made good by the next probe only, a second later, and a pull that timed out forgot its holder. Change: pulls are repeated after 0.3 s at the next of up to four holders, new versions are offered to two random peers beside the children, controllers repeat an offer until the relay pulls.

--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -101,14 +101,16 @@
 	case have.NewerThan(version) && !version.IsZero() && !slices.Contains(c.controllers, from):
 		c.send(from, &wire.Envelope{Body: &wire.Envelope_Offer{Offer: c.Offer()}})
 	case !version.NewerThan(have) || version == c.refused:
-	case version.NewerThan(c.best) || c.bestFrom == "":
+	case version.NewerThan(c.best) || len(c.holders) == 0:
 		if have.IsZero() && c.bootUntil == 0 {
 			c.bootUntil = c.now + bootWindow
 		}
 
 		c.best = version
-		c.bestFrom = from
+		c.holders = []string{from}
 		c.pullBest()
+	case version == c.best && len(c.holders) < maxHolders && !slices.Contains(c.holders, from):
+		c.holders = append(c.holders, from)
 	}
 }
 
@@ -132,7 +134,7 @@
 
 	if d.GetNeedDigests() {
 		c.wantDigest = true
-		c.retryPull(from, target)
+		c.startPull(from, target)
 
 		return
 	}
@@ -143,22 +145,17 @@
 	case err == nil:
 		c.applied(from, d)
 	case errors.Is(err, holder.ErrOtherBase):
-		c.retryPull(from, target)
+		c.startPull(from, target)
 	case d.GetWhole():
 		c.reject(from, target, err)
 	default:
 		c.wantWhole = true
-		c.retryPull(from, target)
+		c.startPull(from, target)
 	}
 }
 
-func (c *Core) retryPull(from string, target tiller.Version) {
-	c.pulling = pull{from: from, target: target, until: c.now + pullTimeout, active: true}
-	c.sendPull(from)
-}
-
 func (c *Core) applied(from string, d *wire.Difference) {
-	c.bestFrom = ""
+	c.holders = nil
 	c.out.Applied = true
 	c.emit(tiller.EventApplied, differenceText(d), tiller.WithCause(from))
 	c.pushOffers()
@@ -184,7 +181,7 @@
 // reject remembers a version that this holder cannot offer validly; a newer or an intact one is still taken.
 func (c *Core) reject(from string, target tiller.Version, err error) {
 	c.refused = target
-	c.bestFrom = ""
+	c.holders = nil
 	c.best = tiller.Version{}
 	c.out.Events = append(c.out.Events,
 		tiller.NewEvent(tiller.EventRejected, err.Error(), tiller.WithVersion(target), tiller.WithCause(from)))
@@ -199,7 +196,7 @@
 
 	// Another holder may offer the version meanwhile; this one is asked again with the next regular pull.
 	c.pulling.active = false
-	c.bestFrom = ""
+	c.holders = nil
 }
 
 func (c *Core) onReport(r *wire.Report) {
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -21,9 +21,18 @@
 	// LeasePeriod is how long a version counts as confirmed after the source's lease was seen.
 	LeasePeriod = 15 * tiller.Second
 
-	pullPeriod                = tiller.Second
-	pullTimeout               = tiller.Second
-	bootWindow  tiller.Millis = 400
+	pullPeriod = tiller.Second
+	// wholeTimeout is how long a whole version, or the difference by digests, may take over a narrow link.
+	wholeTimeout = tiller.Second
+	// differenceTimeout is some round trips between regions; a difference is small, and what is lost is asked for again.
+	differenceTimeout tiller.Millis = 300
+	// maxHolders bounds the remembered holders of the best version, and maxPulls the pulls before new offers are waited for.
+	maxHolders = 4
+	maxPulls   = 8
+	// pushPeers is how many random peers hear of a new version beside the children in the tree, in case a message is lost.
+	pushPeers = 2
+
+	bootWindow tiller.Millis = 400
 	// bootPullPeriod is how often a node without a configuration asks a source that has none to give yet.
 	bootPullPeriod  tiller.Millis = 250
 	reportPeriod                  = 5 * tiller.Second
@@ -79,6 +88,8 @@
 	target tiller.Version
 	until  tiller.Millis
 	active bool
+	// tries counts the pulls for the target.
+	tries int
 }
 
 type reported struct {
@@ -107,9 +118,10 @@
 	confirmedAt tiller.Millis
 	confirmed   bool
 
-	pulling    pull
-	best       tiller.Version
-	bestFrom   string
+	pulling pull
+	best    tiller.Version
+	// holders offered the best version; they are asked in turn.
+	holders    []string
 	bootUntil  tiller.Millis
 	wantWhole  bool
 	wantDigest bool
@@ -180,7 +192,7 @@
 
 	if c.pulling.active && c.now >= c.pulling.until {
 		c.pulling.active = false
-		c.bestFrom = ""
+		c.nextHolder()
 	}
 
 	c.pullBest()
@@ -276,9 +288,20 @@
 	c.send(to, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: p}})
 }
 
+// nextHolder turns to the next holder of the best version, since a pull or its answer was lost.
+func (c *Core) nextHolder() {
+	if c.pulling.tries >= maxPulls {
+		c.holders = nil
+	}
+
+	if len(c.holders) > 1 {
+		c.holders = append(slices.Clone(c.holders[1:]), c.holders[0])
+	}
+}
+
 // pullBest pulls the newest version that a peer has offered. A node without any version first waits for several offers.
 func (c *Core) pullBest() {
-	if c.pulling.active || c.bestFrom == "" || !c.best.NewerThan(c.holder.Version()) {
+	if c.pulling.active || len(c.holders) == 0 || !c.best.NewerThan(c.holder.Version()) {
 		return
 	}
 
@@ -286,8 +309,23 @@
 		return
 	}
 
-	c.pulling = pull{from: c.bestFrom, target: c.best, until: c.now + pullTimeout, active: true}
-	c.sendPull(c.bestFrom)
+	c.startPull(c.holders[0], c.best)
+}
+
+// startPull asks a holder for a version.
+func (c *Core) startPull(from string, target tiller.Version) {
+	timeout := differenceTimeout
+	if c.wantWhole || c.wantDigest || c.holder.Version().IsZero() {
+		timeout = wholeTimeout
+	}
+
+	tries := 1
+	if target == c.pulling.target {
+		tries += c.pulling.tries
+	}
+
+	c.pulling = pull{from: from, target: target, until: c.now + timeout, active: true, tries: tries}
+	c.sendPull(from)
 }
 
 func (c *Core) updateConfirmed() {
@@ -322,11 +360,16 @@
 	first := min(FanOut*c.view.Rank+1, len(c.view.Peers))
 	last := min(first+FanOut, len(c.view.Peers))
 
-	return c.view.Peers[first:last]
+	return slices.Clone(c.view.Peers[first:last])
 }
 
 func (c *Core) pushOffers() {
-	for _, e := range c.children() {
+	to := c.children()
+	for range min(pushPeers, len(c.view.Peers)) {
+		to = append(to, c.view.Peers[c.random.IntN(len(c.view.Peers))])
+	}
+
+	for _, e := range to {
 		c.send(e.GetAddress(), &wire.Envelope{Body: &wire.Envelope_Offer{Offer: c.Offer()}})
 	}
 }
--- a/internal/fleettest/distribution_test.go
+++ b/internal/fleettest/distribution_test.go
@@ -285,3 +285,22 @@
 		}
 	}
 }
+
+// TestLostMessagesHoldNoNodeBack applies edits one after another while a tenth of all messages is lost, as on links that are full. The
+// bound is the platform's for an acknowledged version to be in force.
+func TestLostMessagesHoldNoNodeBack(t *testing.T) {
+	const bound = 2 * tiller.Second
+
+	f, _ := settled(t, 4, 25)
+	f.net.SetFaults(faultnet.Faults{Loss: 0.1, MinDelay: 1, MaxDelay: 20})
+
+	slowest := tiller.Millis(0)
+
+	for change := 2; change < 32; change++ {
+		v := f.edit(change)
+		slowest = max(slowest, f.until(convergence, "the edit is in force everywhere", f.inForce(v, everywhere)))
+	}
+
+	t.Logf("slowest of 30 edits in force everywhere after %d ms", slowest)
+	require.LessOrEqual(t, slowest, bound)
+}
--- a/source/controller/controller.go
+++ b/source/controller/controller.go
@@ -24,9 +24,12 @@
 	wholeCost = 8
 	pullCost  = 1
 
-	recentVersions                   = 256
-	compactEvery                     = 512
-	relayMemory                      = 15 * tiller.Second
+	recentVersions = 256
+	compactEvery   = 512
+	relayMemory    = 15 * tiller.Second
+	// maxOffers and offerPeriod repeat an offer that a relay does not react to, since it may have been lost.
+	maxOffers                        = 4
+	offerPeriod        tiller.Millis = 150
 	joinPeriod                       = tiller.Second
 	busyRetry                        = 2 * tiller.Second
 	maxPeersTold                     = 4
@@ -105,6 +108,9 @@
 type relay struct {
 	dataCentre string
 	seenAt     tiller.Millis
+	// offers is how often the newest version is still to be offered, next at offerAt; a pull ends it.
+	offers  int
+	offerAt tiller.Millis
 }
 
 // Core is one controller.
@@ -308,6 +314,7 @@
 func (c *Core) tick() {
 	c.join()
 	c.expireWaiting()
+	c.repeatOffers()
 
 	if c.Current(c.now) && c.now >= c.placeAt {
 		c.placeAt = c.now + placePeriod
--- a/source/controller/serve.go
+++ b/source/controller/serve.go
@@ -140,12 +140,30 @@
 // offerRelays tells the relays that pulled lately of a new version.
 func (c *Core) offerRelays() {
 	for _, address := range sortedKeys(c.relays) {
-		if c.now >= c.relays[address].seenAt+relayMemory {
+		r := c.relays[address]
+		if c.now >= r.seenAt+relayMemory {
 			delete(c.relays, address)
 
 			continue
 		}
 
-		c.send(address, &wire.Envelope{Body: &wire.Envelope_Offer{Offer: c.offer()}})
+		r.offers = maxOffers
+		c.offerTo(address, r)
+	}
+}
+
+// repeatOffers offers the newest version again to relays that have not pulled since.
+func (c *Core) repeatOffers() {
+	for _, address := range sortedKeys(c.relays) {
+		if r := c.relays[address]; r.offers > 0 && c.now >= r.offerAt {
+			c.offerTo(address, r)
+		}
 	}
 }
+
+func (c *Core) offerTo(address string, r relay) {
+	r.offers--
+	r.offerAt = c.now + offerPeriod
+	c.relays[address] = r
+	c.send(address, &wire.Envelope{Body: &wire.Envelope_Offer{Offer: c.offer()}})
+}
