--- a/calls/acceptor/conn.go
+++ b/calls/acceptor/conn.go
@@ -237,13 +237,13 @@
 	return c.closing
 }
 
-// closeAfter decides whether an answer is the last one of its connection; requests that were read behind it are answered
-// first.
-func (c *conn) closeAfter(wanted bool) bool {
+// closeAfter decides whether an answer is the last one of its connection: it must be where nothing can follow it; where an end is only
+// wanted, requests that were read behind it are answered first.
+func (c *conn) closeAfter(must, wanted bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.closing || (wanted && c.open == 1 && !c.reading) {
+	if must || (wanted && c.open == 1 && !c.reading) {
 		c.closing = true
 	}
 
--- a/calls/acceptor/exchange.go
+++ b/calls/acceptor/exchange.go
@@ -195,16 +195,9 @@
 func (e *exchange) writeHead() {
 	// A body that was not read to its end leaves the connection in the middle of a request.
 	readOn := e.body.whole() || e.body.discard(maxDiscardBytes)
-	e.last = e.conn.closeAfter(!readOn || e.head.closes() || e.conn.acceptor.isDraining()) || !readOn
-
-	if e.last && !readOn {
-		e.conn.markClosing()
-	}
-
-	if e.hasBody() && e.length < 0 {
-		e.chunked = e.head.minor == 1
-		e.last = e.last || !e.chunked
-	}
+	unbounded := e.hasBody() && e.length < 0
+	e.chunked = unbounded && e.head.minor == 1
+	e.last = e.conn.closeAfter(!readOn || (unbounded && !e.chunked), e.head.closes() || e.conn.acceptor.isDraining())
 
 	e.prepareHeader()
 
@@ -275,13 +268,6 @@
 	}
 }
 
-func (c *conn) markClosing() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	c.closing = true
-}
-
 // writeFailure answers a request that could not be read.
 func writeFailure(c *conn, status int) {
 	_, _ = fmt.Fprintf(c.writer, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
