End the search at a gate that refuses waiting calls for want of a slot

Cause: read in the diff: a node that answered no_slot to an attempt which may wait would be asked for ever, since that answer was taken for one of asking. Test first: TestGateThatNeverHasASlotEndsTheSearch runs into its time limit before, ends after a few attempts now. Change: only an attempt that asked goes on for nothing.

--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -88,7 +88,7 @@
 			return answer, nil
 		}
 
-		if err.Reason() == tiller.ReasonNoSlot && ctx.Err() == nil {
+		if noWait && err.Reason() == tiller.ReasonNoSlot && ctx.Err() == nil {
 			search.full(backend.Worker())
 			c.attempts.Undo()
 
--- a/calls/forwarder/search.go
+++ b/calls/forwarder/search.go
@@ -92,7 +92,7 @@
 
 	candidates, policy := c.table.Candidates(c.request.service), f.placing(c)
 
-	// The own worker costs no bytes on any link and no time on the way; a gate of its own tells exactly whether it has room.
+	// The own worker costs no bytes on any link and no time on the way, and its gate tells exactly whether it has room.
 	if !union(s.tried, s.busy).Has(f.Name) && c.request.service == f.Service && f.Gate.Free() {
 		if backend, ok = f.Balancer.PickComfortable(now, among(candidates, f.Name), policy).Get(); ok {
 			return backend, true, true
--- a/calls/forwarder/search_test.go
+++ b/calls/forwarder/search_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
 // occupy takes all slots of a node's gate until the returned function runs.
@@ -133,3 +135,41 @@
 	require.Less(t, asked.Load(), int64(calls/2), "most calls ask no gate while all are full")
 	require.Positive(t, asked.Load())
 }
+
+// TestGateThatNeverHasASlotEndsTheSearch meets a node that gives the same refusal to calls that would wait.
+func TestGateThatNeverHasASlotEndsTheSearch(t *testing.T) {
+	nodes := newNodes(t, ok, ok)
+	nodes[0].state = wire.BackendState_BACKEND_STATE_DRAINING
+
+	var attempts atomic.Int64
+
+	for _, n := range nodes {
+		serve := n.server.Config.Handler
+		n.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(forwarder.HeaderAttempt) == "" {
+				serve.ServeHTTP(w, r)
+
+				return
+			}
+
+			attempts.Add(1)
+
+			err := tiller.NewCallError(tiller.VerdictNotRun, tiller.ReasonNoSlot, "no slot is free now").WithUntried()
+			refusal := forwarder.Dialect{}.Refuse(err, centre)
+
+			for name, values := range refusal.Header() {
+				w.Header()[name] = values
+			}
+
+			w.Header().Set(forwarder.HeaderAttempt, r.Header.Get(forwarder.HeaderAttempt))
+			w.Header().Set(forwarder.HeaderLength, strconv.Itoa(len(refusal.Body())))
+			w.WriteHeader(refusal.Status())
+			_, _ = w.Write(refusal.Body())
+		})
+	}
+
+	a := send(t, nodes[0], "PUT", "/calls/1", "", "")
+	require.Equal(t, "not_run", a.verdict)
+	require.LessOrEqual(t, attempts.Load(), int64(6))
+	require.Zero(t, runs(nodes))
+}
