Let several soaks run at once on one machine

Cause: two soaks, or a soak beside make test, met on the same loopback addresses. Change: the flag network chooses them.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -58,8 +58,8 @@
 }
 
 // told is the host that others send to, bound the one that a process listens on.
-func told(dc, slot int) string  { return fmt.Sprintf("127.6.%d.%d", dc, slot) }
-func bound(dc, slot int) string { return fmt.Sprintf("127.7.%d.%d", dc, slot) }
+func told(dc, slot int) string  { return fmt.Sprintf("127.%d.%d.%d", *network, dc, slot) }
+func bound(dc, slot int) string { return fmt.Sprintf("127.%d.%d.%d", *network+1, dc, slot) }
 
 const controllerSlot = 200
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,7 +23,9 @@
 	first  = flag.Uint64("first", 1, "first seed")
 	length = flag.Duration("length", 6*time.Second, "time in which faults begin")
 	nodes  = flag.Int("nodes", 6, "number of nodes")
-	keep   = flag.String("keep", "", "folder that keeps settings, data and logs of each seed")
+	// network tells soaks apart that run at the same time on one machine.
+	network = flag.Int("network", 6, "second number of the loopback addresses, and the one after it")
+	keep    = flag.String("keep", "", "folder that keeps settings, data and logs of each seed")
 )
 
 // regressions are seeds that failed once, with the cause.
