Tidy names that the new code brought

Cause: read as a newcomer: the budget's slots are not a worker's slots, two sets were joined by hand, a header was set that the client ignores. Change: buckets, Set.Union, no header.

--- a/calls/forwarder/search.go
+++ b/calls/forwarder/search.go
@@ -93,7 +93,7 @@
 	candidates, policy := c.table.Candidates(c.request.service), f.placing(c)
 
 	// The own worker costs no bytes on any link and no time on the way, and its gate tells exactly whether it has room.
-	if !union(s.tried, s.busy).Has(f.Name) && c.request.service == f.Service && f.Gate.Free() {
+	if !s.tried.Union(s.busy).Has(f.Name) && c.request.service == f.Service && f.Gate.Free() {
 		if backend, ok = f.Balancer.PickComfortable(now, among(candidates, f.Name), policy).Get(); ok {
 			return backend, true, true
 		}
@@ -101,7 +101,7 @@
 
 	// Asking elsewhere would cost bytes between data centres where waiting nearby is often as good.
 	if s.asked < maxAsked {
-		if backend, ok = f.Balancer.Pick(now, f.near(candidates), union(s.tried, s.busy), policy).Get(); ok {
+		if backend, ok = f.Balancer.Pick(now, f.near(candidates), s.tried.Union(s.busy), policy).Get(); ok {
 			return backend, true, true
 		}
 	}
@@ -122,7 +122,3 @@
 func among(candidates []balancer.Candidate, w tiller.Worker) []balancer.Candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(c balancer.Candidate) bool { return c.Backend().Worker() != w })
 }
-
-func union(a, b tiller.Set[tiller.Worker]) tiller.Set[tiller.Worker] {
-	return tiller.NewSet(append(a.Sorted(), b.Sorted()...)...)
-}
--- a/calls/retrier/budget.go
+++ b/calls/retrier/budget.go
@@ -13,9 +13,9 @@
 	// that a fleet of n nodes retries 2 n times at most where nothing else allows it.
 	Reserve = 2
 
-	slots      = 20
-	slotLength = Window / slots
-	percent    = 100
+	buckets      = 20
+	bucketLength = Window / buckets
+	percent      = 100
 )
 
 // Budget bounds the retries to each service by its calls in a sliding window, so that retries not made in calm times cannot
@@ -25,11 +25,11 @@
 	services map[tiller.Service]*window
 }
 
-// window counts what happened in the slots of the last span.
+// window counts what happened in the buckets of the last span.
 type window struct {
-	calls   [slots]int64
-	retries [slots]int64
-	slot    int64
+	calls   [buckets]int64
+	retries [buckets]int64
+	bucket  int64
 }
 
 // NewBudget returns a budget that has seen no calls.
@@ -43,7 +43,7 @@
 	defer b.mu.Unlock()
 
 	w := b.window(now, s)
-	w.calls[w.slot%slots]++
+	w.calls[w.bucket%buckets]++
 }
 
 // Spend takes one retry to a service and reports whether the share of its calls, in percent, allows it.
@@ -56,12 +56,12 @@
 		return false
 	}
 
-	w.retries[w.slot%slots]++
+	w.retries[w.bucket%buckets]++
 
 	return true
 }
 
-// window returns the counts of a service with the slots cleared that have left the span.
+// window returns the counts of a service with the buckets cleared that have left the span.
 func (b *Budget) window(now tiller.Millis, s tiller.Service) *window {
 	w := b.services[s]
 	if w == nil {
@@ -69,11 +69,11 @@
 		b.services[s] = w
 	}
 
-	current := int64(now / slotLength)
-	for w.slot = max(w.slot, current-slots); w.slot < current; {
-		w.slot++
-		w.calls[w.slot%slots] = 0
-		w.retries[w.slot%slots] = 0
+	current := int64(now / bucketLength)
+	for w.bucket = max(w.bucket, current-buckets); w.bucket < current; {
+		w.bucket++
+		w.calls[w.bucket%buckets] = 0
+		w.retries[w.bucket%buckets] = 0
 	}
 
 	return w
@@ -91,7 +91,7 @@
 	}
 }
 
-func sum(counts [slots]int64) int64 {
+func sum(counts [buckets]int64) int64 {
 	total := int64(0)
 	for _, n := range counts {
 		total += n
--- a/process/compressor/compressor.go
+++ b/process/compressor/compressor.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
@@ -63,7 +62,6 @@
 
 	out := r.Clone(r.Context())
 	out.Header.Set("Content-Encoding", encoding)
-	out.Header.Set("Content-Length", strconv.Itoa(len(compressed)))
 	out.ContentLength = int64(len(compressed))
 	out.Body = io.NopCloser(bytes.NewReader(compressed))
 	out.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(compressed)), nil }
--- a/set.go
+++ b/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -41,6 +42,14 @@
 // Len returns the number of members.
 func (s Set[T]) Len() int { return len(s.members) }
 
+// Union returns a set of the members of both.
+func (s Set[T]) Union(o Set[T]) Set[T] {
+	out := Set[T]{members: maps.Clone(s.members)}
+	maps.Copy(out.members, o.members)
+
+	return out
+}
+
 // Sorted returns the members in ascending order.
 func (s Set[T]) Sorted() []T {
 	out := make([]T, 0, len(s.members))
