Push small differences down the tree without being asked

Cause: on links that are full each message waits in a queue; an offer, a pull and the difference take three such waits a level of the tree. Ruled out: lost messages alone (TestLostMessagesHoldNoNodeBack was within the bound before). Change: a node that applies a version sends its children the difference to the version before where it fits a datagram; one that does not apply counts as an offer. A pull for a version that came by another way ends.

--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -130,6 +130,14 @@
 		return
 	}
 
+	before := c.holder.Version()
+
+	if !c.pulling.active || c.pulling.from != from {
+		c.onPushed(from, d, before)
+
+		return
+	}
+
 	c.pulling.active = false
 
 	if d.GetNeedDigests() {
@@ -143,7 +151,7 @@
 
 	switch {
 	case err == nil:
-		c.applied(from, d)
+		c.applied(from, d, before)
 	case errors.Is(err, holder.ErrOtherBase):
 		c.startPull(from, target)
 	case d.GetWhole():
@@ -154,12 +162,29 @@
 	}
 }
 
-func (c *Core) applied(from string, d *wire.Difference) {
-	c.holders = nil
+// onPushed takes a difference that was not asked for; one that does not apply here still tells who holds a newer version.
+func (c *Core) onPushed(from string, d *wire.Difference, before tiller.Version) {
+	if d.GetNeedDigests() || c.holder.Merge(d) != nil {
+		c.consider(from, tiller.VersionOf(d.GetTarget()))
+
+		return
+	}
+
+	c.applied(from, d, before)
+}
+
+func (c *Core) applied(from string, d *wire.Difference, before tiller.Version) {
+	if !c.best.NewerThan(c.holder.Version()) {
+		c.holders = nil
+	}
+
+	// A pull for a version that has come by another way must not hold up the next one.
+	c.pulling.active = c.pulling.active && c.pulling.target.NewerThan(c.holder.Version())
 	c.out.Applied = true
 	c.emit(tiller.EventApplied, differenceText(d), tiller.WithCause(from))
-	c.pushOffers()
+	c.push(before)
 	c.report()
+	c.pullBest()
 
 	// The source's next answer confirms the new version without waiting for a whole period.
 	if c.isRelay() && c.failures == 0 {
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
@@ -31,6 +33,8 @@
 	maxPulls   = 8
 	// pushPeers is how many random peers hear of a new version beside the children in the tree, in case a message is lost.
 	pushPeers = 2
+	// maxPushedBytes is the largest difference that is sent without being asked for; with its envelope it fits one datagram.
+	maxPushedBytes = 1000
 
 	bootWindow tiller.Millis = 400
 	// bootPullPeriod is how often a node without a configuration asks a source that has none to give yet.
@@ -257,13 +261,41 @@
 	return slices.Clone(c.view.Peers[first:last])
 }
 
+// push spreads the version in force: children get the difference to the version before at once where it is small, which saves the
+// round trip of a pull on links that are full.
+func (c *Core) push(before tiller.Version) {
+	d := c.holder.Answer(&wire.Pull{Have: before.Wire()})
+	if before.IsZero() || d == nil || d.GetNeedDigests() || proto.Size(d) > maxPushedBytes {
+		c.pushOffers()
+
+		return
+	}
+
+	for _, e := range c.children() {
+		c.send(e.GetAddress(), &wire.Envelope{Body: &wire.Envelope_Difference{Difference: d}})
+	}
+
+	c.offerTo(c.randomPeers())
+}
+
 func (c *Core) pushOffers() {
-	to := c.children()
-	for range min(pushPeers, len(c.view.Peers)) {
-		to = append(to, c.view.Peers[c.random.IntN(len(c.view.Peers))])
+	c.offerTo(append(c.children(), c.randomPeers()...))
+}
+
+// randomPeers returns a few nodes of the data centre, this one perhaps among them.
+func (c *Core) randomPeers() []*wire.NodeEntry {
+	n := min(pushPeers, len(c.view.Peers))
+	out := make([]*wire.NodeEntry, 0, n)
+
+	for range n {
+		out = append(out, c.view.Peers[c.random.IntN(len(c.view.Peers))])
 	}
 
-	for _, e := range to {
+	return out
+}
+
+func (c *Core) offerTo(nodes []*wire.NodeEntry) {
+	for _, e := range nodes {
 		c.send(e.GetAddress(), &wire.Envelope{Body: &wire.Envelope_Offer{Offer: c.Offer()}})
 	}
 }
