Know a crashing request whichever node takes it

Cause: put the service of the VM that takes a request into its digest. Change: the digest leaves it out again, as before; the price, that the same request of another service is refused too, stays. TestCrashingRequestTakesDownTwoServersResendsIncluded now sends through a node of another service as well.

--- a/calls/forwarder/call.go
+++ b/calls/forwarder/call.go
@@ -57,7 +57,7 @@
 	}
 
 	q.body = body
-	q.digest = quarantiner.DigestOf(q.origin, q.method, q.target, q.key, body.kept)
+	q.digest = quarantiner.DigestOf(q.method, q.target, q.key, body.kept)
 
 	return c, nil
 }
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -191,6 +191,7 @@
 
 func TestCrashingRequestTakesDownTwoServersResendsIncluded(t *testing.T) {
 	nodes := newNodes(t, die, die, die, die, die)
+	nodes[4].forward.Service = "talent"
 
 	for i := range 10 {
 		send(t, nodes[i%len(nodes)], "PUT", "/calls/crash", "", "the same body")
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -87,7 +87,7 @@
 		atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", noWait: r.Header.Get(HeaderNoWait) != "",
 		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
 		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
-		digest: quarantiner.DigestOf(tiller.Service(r.Header.Get(HeaderOrigin)), r.Method, rawTarget(r), terms.Key(), body.kept),
+		digest: quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.kept),
 	}, nil
 }
 
@@ -198,8 +198,7 @@
 		return nil, err
 	}
 
-	// The caller may send the key again through a node of another service.
-	digest := []byte(quarantiner.DigestOf("", q.method, q.target, "", q.body.kept))
+	digest := []byte(quarantiner.DigestOf(q.method, q.target, "", q.body.kept))
 
 	result := f.Claims.Take(ctx, key, digest, q.attempt)
 	if result.Verdict() != wire.ClaimVerdict_CLAIM_VERDICT_GRANTED {
--- a/calls/quarantiner/quarantiner.go
+++ b/calls/quarantiner/quarantiner.go
@@ -18,14 +18,14 @@
 // Digest identifies a request across resends.
 type Digest string
 
-// DigestOf returns the digest of a request; a keyed request is known by its key. The origin is the calling service: the same
-// request of another one may be harmless.
-func DigestOf(origin tiller.Service, method, target, key string, body []byte) Digest {
+// DigestOf returns the digest of a request; a keyed request is known by its key. It leaves out which node took the request, so that one
+// sent again through any other is known.
+func DigestOf(method, target, key string, body []byte) Digest {
 	h := sha256.New()
 	if key != "" {
 		h.Write([]byte(key))
 	} else {
-		h.Write([]byte(string(origin) + "\n" + method + " " + target + "\n"))
+		h.Write([]byte(method + " " + target + "\n"))
 		h.Write(body)
 	}
 
