Forward a difference as it came and decide on a free slot once

Cause: read in the whole change: a node that applied a small change compared all items again (1,600 routes) to push the difference that it had just received, leaves without children too; the gate and the limiter each worked out whether a slot is free; a pick joined the same two sets twice. Change: the received difference goes on to the children; limiter.Core.Free decides for both; one set a pick. After a whole version or one by item digests, which only nodes far behind get, children are offered the version instead of being sent a difference computed anew.

--- a/calls/forwarder/search.go
+++ b/calls/forwarder/search.go
@@ -91,9 +91,10 @@
 	}
 
 	candidates, policy := c.table.Candidates(c.request.service), f.placing(c)
+	met := s.tried.Union(s.busy)
 
 	// The own worker costs no bytes on any link and no time on the way, and its gate tells exactly whether it has room.
-	if !s.tried.Union(s.busy).Has(f.Name) && c.request.service == f.Service && f.Gate.Free() {
+	if !met.Has(f.Name) && c.request.service == f.Service && f.Gate.Free() {
 		if backend, ok = f.Balancer.PickComfortable(now, among(candidates, f.Name), policy).Get(); ok {
 			return backend, true, true
 		}
@@ -101,7 +102,7 @@
 
 	// Asking elsewhere would cost bytes between data centres where waiting nearby is often as good.
 	if s.asked < maxAsked {
-		if backend, ok = f.Balancer.Pick(now, f.near(candidates), s.tried.Union(s.busy), policy).Get(); ok {
+		if backend, ok = f.Balancer.Pick(now, f.near(candidates), met, policy).Get(); ok {
 			return backend, true, true
 		}
 	}
--- a/calls/limiter/gate.go
+++ b/calls/limiter/gate.go
@@ -84,7 +84,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	return g.core.Waiting() == 0 && g.core.InFlight() < g.core.Limit()
+	return g.core.Free()
 }
 
 // Load returns the number of requests that run or wait, the limit, and how long requests take.
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -79,7 +79,7 @@
 	switch {
 	case c.options.Slots == 0:
 		grant(refusal(tiller.ReasonNoBackend, "the worker has no slots"))
-	case c.inFlight < c.limit && len(c.queue) == 0:
+	case c.Free():
 		c.start(now, t)
 	case d.noWait:
 		grant(refusal(tiller.ReasonNoSlot, "no slot is free now"))
@@ -346,6 +346,9 @@
 	}
 }
 
+// Free reports whether a request would get a slot at once.
+func (c *Core) Free() bool { return c.inFlight < c.limit && len(c.queue) == 0 }
+
 // InFlight returns the number of requests that hold a slot.
 func (c *Core) InFlight() int { return c.inFlight }
 
--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -130,10 +130,8 @@
 		return
 	}
 
-	before := c.holder.Version()
-
 	if !c.pulling.active || c.pulling.from != from {
-		c.onPushed(from, d, before)
+		c.onPushed(from, d)
 
 		return
 	}
@@ -151,7 +149,7 @@
 
 	switch {
 	case err == nil:
-		c.applied(from, d, before)
+		c.applied(from, d)
 	case errors.Is(err, holder.ErrOtherBase):
 		c.startPull(from, target)
 	case d.GetWhole():
@@ -163,17 +161,17 @@
 }
 
 // onPushed takes a difference that was not asked for; one that does not apply here still tells who holds a newer version.
-func (c *Core) onPushed(from string, d *wire.Difference, before tiller.Version) {
+func (c *Core) onPushed(from string, d *wire.Difference) {
 	if d.GetNeedDigests() || c.holder.Merge(d) != nil {
 		c.consider(from, tiller.VersionOf(d.GetTarget()))
 
 		return
 	}
 
-	c.applied(from, d, before)
+	c.applied(from, d)
 }
 
-func (c *Core) applied(from string, d *wire.Difference, before tiller.Version) {
+func (c *Core) applied(from string, d *wire.Difference) {
 	if !c.best.NewerThan(c.holder.Version()) {
 		c.holders = nil
 	}
@@ -182,7 +180,7 @@
 	c.pulling.active = c.pulling.active && c.pulling.target.NewerThan(c.holder.Version())
 	c.out.Applied = true
 	c.emit(tiller.EventApplied, differenceText(d), tiller.WithCause(from))
-	c.push(before)
+	c.push(d)
 	c.report()
 	c.pullBest()
 
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -261,11 +261,10 @@
 	return slices.Clone(c.view.Peers[first:last])
 }
 
-// push spreads the version in force: children get the difference to the version before at once where it is small, which saves the
+// push spreads the version in force: children get the difference to the version before, as it came, where it is small. That saves the
 // round trip of a pull on links that are full.
-func (c *Core) push(before tiller.Version) {
-	d := c.holder.Answer(&wire.Pull{Have: before.Wire()})
-	if before.IsZero() || d == nil || d.GetNeedDigests() || proto.Size(d) > maxPushedBytes {
+func (c *Core) push(d *wire.Difference) {
+	if d.GetWhole() || d.GetFromDigests() || proto.Size(d) > maxPushedBytes {
 		c.pushOffers()
 
 		return
