Tell from a node's log what it knows, asks for and does not get

Nothing in the logs told why a node kept an older version: no line said that a newer one was known, who was asked and that no answer came, and nothing measured the link that calls and messages share.

Time line and log get behind, pulled and pull_lost, and applied says after how long. A refusal for want of a route says how old the node's knowledge is.

--- a/calls/acceptor/acceptor.go
+++ b/calls/acceptor/acceptor.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/meter"
 )
 
 // ErrClosed is returned by Serve after Shutdown or Close.
@@ -55,6 +56,7 @@
 type Acceptor struct {
 	handler http.Handler
 	limits  func() Limits
+	meter   *meter.Meter
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -63,9 +65,9 @@
 	closed    bool
 }
 
-// New returns an acceptor. The limits are asked for each request.
-func New(handler http.Handler, limits func() Limits) *Acceptor {
-	return &Acceptor{handler: handler, limits: limits, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
+// New returns an acceptor. The limits are asked for each request; the meter may be nil.
+func New(handler http.Handler, limits func() Limits, m *meter.Meter) *Acceptor {
+	return &Acceptor{handler: handler, limits: limits, meter: m, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
 }
 
 // Serve accepts connections until the acceptor is shut down or closed; it then returns ErrClosed.
--- a/calls/acceptor/conn.go
+++ b/calls/acceptor/conn.go
@@ -49,8 +49,9 @@
 	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), http.LocalAddrContextKey, raw.LocalAddr()))
 
 	return &conn{
-		acceptor: a, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
-		ctx: ctx, cancel: cancel, slots: make(chan struct{}, maxPipelined),
+		acceptor: a, raw: raw, reader: bufio.NewReaderSize(a.meter.Reader(raw), readBufferBytes),
+		writer: bufio.NewWriterSize(a.meter.Writer(raw), writeBufferBytes),
+		ctx:    ctx, cancel: cancel, slots: make(chan struct{}, maxPipelined),
 	}
 }
 
--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -127,7 +127,7 @@
 // keep is written beside the reading.
 func (e *exchange) send() (bool, error) {
 	if e.request.Rest != nil {
-		w := bufio.NewWriterSize(e.conn.raw, writeBufferBytes)
+		w := bufio.NewWriterSize(e.conn.writer, writeBufferBytes)
 		e.writeHead(w)
 
 		go func() { e.setWritten(e.writeBody(w) == nil) }()
@@ -137,7 +137,7 @@
 
 	var sent bool
 
-	w := bufio.NewWriterSize(&countingWriter{writer: e.conn.raw, sent: &sent}, writeBufferBytes)
+	w := bufio.NewWriterSize(&countingWriter{writer: e.conn.writer, sent: &sent}, writeBufferBytes)
 	e.writeHead(w)
 	_, _ = w.Write(e.request.Prefix)
 	err := w.Flush()
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/meter"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/peeker"
 )
 
@@ -53,6 +54,8 @@
 	SilentTimeout time.Duration
 	// Opened is called for each new connection; it may be nil.
 	Opened func(to tiller.Address)
+	// Meter counts the bytes on the connections; it may be nil.
+	Meter *meter.Meter
 }
 
 // Exchanger keeps idle connections by address. It is safe for concurrent use.
@@ -90,6 +93,7 @@
 // conn is one connection to a server.
 type conn struct {
 	raw       net.Conn
+	writer    io.Writer
 	reader    *bufio.Reader
 	limited   *io.LimitedReader
 	to        tiller.Address
@@ -143,9 +147,12 @@
 		x.options.Opened(to)
 	}
 
-	limited := &io.LimitedReader{R: raw}
+	limited := &io.LimitedReader{R: x.options.Meter.Reader(raw)}
 
-	return &conn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), to: to, idleFor: defaultIdleTimeout}, nil
+	return &conn{
+		raw: raw, writer: x.options.Meter.Writer(raw), limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes),
+		to: to, idleFor: defaultIdleTimeout,
+	}, nil
 }
 
 // put keeps a connection for the next request.
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -84,6 +84,8 @@
 	ConfirmCrashes bool
 	// Log takes one line for each decision on a call.
 	Log logr.Logger
+	// ContactAge returns how long ago another process last told which version it holds; it may be nil.
+	ContactAge func() tiller.Millis
 }
 
 // Forwarder is the HTTP handler of a node for callers and for other nodes.
@@ -114,7 +116,7 @@
 		stages:   newStages(options.Metrics),
 		patience: newPatience(),
 		asks:     &askShare{free: 1},
-		log:      callLog{log: options.Log, clock: options.Clock},
+		log:      callLog{log: options.Log, clock: options.Clock, contactAge: options.ContactAge},
 	}
 }
 
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -12,6 +12,8 @@
 type callLog struct {
 	log   logr.Logger
 	clock tiller.Clock
+	// contactAge tells how old the node's knowledge of the newest version is; it may be nil.
+	contactAge func() tiller.Millis
 }
 
 // detailLevel is the level of lines about calls that went well.
@@ -49,8 +51,15 @@
 }
 
 func (l callLog) refused(c *call, err *tiller.CallError) {
-	l.log.Info("call refused", append(l.describe(c),
-		"verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail(), "retry_after_ms", int64(err.RetryAfter()))...)
+	fields := append(l.describe(c),
+		"verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail(), "retry_after_ms", int64(err.RetryAfter()))
+
+	// A missing route may only be missing here.
+	if err.Reason() == tiller.ReasonNoRoute && l.contactAge != nil {
+		fields = append(fields, "contact_age_ms", int64(l.contactAge()))
+	}
+
+	l.log.Info("call refused", fields...)
 }
 
 func (l callLog) retried(c *call, at tiller.Backend, err *tiller.CallError) {
--- a/distribution/subscriber/pull.go
+++ b/distribution/subscriber/pull.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"fmt"
 	"slices"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -109,6 +110,29 @@
 		tries += c.pulling.tries
 	}
 
+	c.emit(tiller.EventPulled, fmt.Sprintf("asks for %s %s, try %d, %d ms behind", target, c.pullKind(), tries, c.Lag()), tiller.WithCause(from))
 	c.pulling = pull{from: from, target: target, until: c.now + timeout, active: true, tries: tries}
 	c.sendPull(from)
 }
+
+// pullKind returns what the next pull asks for.
+func (c *Core) pullKind() string {
+	switch {
+	case c.wantWhole || c.holder.Version().IsZero():
+		return "as a whole"
+	case c.wantDigest:
+		return "by item digests"
+	default:
+		return "as a difference"
+	}
+}
+
+// noteNewer remembers since when a version newer than the one in force is known.
+func (c *Core) noteNewer(from string, version tiller.Version) {
+	if c.behindSince != 0 || version == c.refused || !version.NewerThan(c.holder.Version()) {
+		return
+	}
+
+	c.behindSince = c.now
+	c.emit(tiller.EventBehind, version.String()+" is newer", tiller.WithCause(from))
+}
--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -42,6 +43,8 @@
 		c.learnControllers(o.GetControllers())
 	}
 
+	c.contactAt = c.now
+
 	version := tiller.VersionOf(o.GetVersion())
 	if o.GetConfirmed() && version == c.holder.Version() && !version.IsZero() {
 		c.confirmedAt = max(c.confirmedAt, c.now-tiller.Millis(o.GetConfirmedAge()))
@@ -95,6 +98,8 @@
 
 // consider notes a holder of a newer version; a holder of an older one is told what it misses.
 func (c *Core) consider(from string, version tiller.Version) {
+	c.noteNewer(from, version)
+
 	have := c.holder.Version()
 
 	switch {
@@ -125,6 +130,8 @@
 }
 
 func (c *Core) onDifference(from string, d *wire.Difference) {
+	c.contactAt = c.now
+
 	target := tiller.VersionOf(d.GetTarget())
 	if !target.NewerThan(c.holder.Version()) {
 		return
@@ -179,7 +186,10 @@
 	// A pull for a version that has come by another way must not hold up the next one.
 	c.pulling.active = c.pulling.active && c.pulling.target.NewerThan(c.holder.Version())
 	c.out.Applied = true
-	c.emit(tiller.EventApplied, differenceText(d), tiller.WithCause(from))
+	c.out.Lag = c.Lag()
+	c.emit(tiller.EventApplied, fmt.Sprintf("%s, %d ms behind", differenceText(d), c.Lag()), tiller.WithCause(from))
+	c.behindSince = 0
+	c.noteNewer(from, c.best)
 	c.push(d)
 	c.report()
 	c.pullBest()
@@ -204,6 +214,7 @@
 // reject remembers a version that this holder cannot offer validly; a newer or an intact one is still taken.
 func (c *Core) reject(from string, target tiller.Version, err error) {
 	c.refused = target
+	c.behindSince = 0
 	c.holders = nil
 	c.best = tiller.Version{}
 	c.out.Events = append(c.out.Events,
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -64,6 +64,8 @@
 type Effects struct {
 	// Applied is set when a new version came into force.
 	Applied bool
+	// Lag is how long a version newer than the one before had been known when the new version was applied.
+	Lag tiller.Millis
 	// Placed is set when the claim groups changed.
 	Placed bool
 	// Messages are sent.
@@ -114,7 +116,11 @@
 	confirmed   bool
 
 	pulling pull
-	best    tiller.Version
+	// behindSince is since when a version newer than the one in force is known, zero if none is.
+	behindSince tiller.Millis
+	// contactAt is when another process last told which version it holds.
+	contactAt tiller.Millis
+	best      tiller.Version
 	// holders offered the best version; they are asked in turn.
 	holders    []string
 	bootUntil  tiller.Millis
@@ -187,6 +193,7 @@
 
 	if c.pulling.active && c.now >= c.pulling.until {
 		c.pulling.active = false
+		c.emit(tiller.EventPullLost, "no answer in time", tiller.WithCause(c.pulling.from))
 		c.nextHolder()
 	}
 
@@ -317,6 +324,18 @@
 // Version returns the version in force.
 func (c *Core) Version() tiller.Version { return c.holder.Version() }
 
+// Lag returns how long a version newer than the one in force has been known, zero if none is.
+func (c *Core) Lag() tiller.Millis {
+	if c.behindSince == 0 {
+		return 0
+	}
+
+	return c.now - c.behindSince
+}
+
+// ContactAge returns how long ago another process last told which version it holds.
+func (c *Core) ContactAge() tiller.Millis { return c.now - c.contactAt }
+
 // Document returns the document in force.
 func (c *Core) Document() tiller.Document { return c.holder.Document() }
 
--- a/event.go
+++ b/event.go
@@ -38,6 +38,9 @@
 	EventClaimFenced
 	EventDiskFailed
 	EventRecovered
+	EventBehind
+	EventPulled
+	EventPullLost
 )
 
 // Event is one observation for the time line; the recorder adds time and process.
--- a/eventkind_enumer.go
+++ b/eventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EventKindName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecovered"
+const _EventKindName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lost"
 
-var _EventKindIndex = [...]uint8{0, 7, 14, 21, 33, 43, 57, 65, 73, 80, 87, 95, 104, 115, 120, 129, 134, 141, 145, 154, 158, 164, 171, 178, 182, 189, 200, 206, 218, 230, 241, 250}
+var _EventKindIndex = [...]uint16{0, 7, 14, 21, 33, 43, 57, 65, 73, 80, 87, 95, 104, 115, 120, 129, 134, 141, 145, 154, 158, 164, 171, 178, 182, 189, 200, 206, 218, 230, 241, 250, 256, 262, 271}
 
-const _EventKindLowerName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecovered"
+const _EventKindLowerName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lost"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -55,9 +55,12 @@
 	_ = x[EventClaimFenced-(28)]
 	_ = x[EventDiskFailed-(29)]
 	_ = x[EventRecovered-(30)]
+	_ = x[EventBehind-(31)]
+	_ = x[EventPulled-(32)]
+	_ = x[EventPullLost-(33)]
 }
 
-var _EventKindValues = []EventKind{EventStarted, EventStopped, EventElected, EventSteppedDown, EventLeaseLost, EventMemberChanged, EventAccepted, EventConflict, EventRefused, EventApplied, EventRejected, EventConfirmed, EventUnconfirmed, EventRelay, EventAnnounced, EventReady, EventDrained, EventGone, EventSuspected, EventDied, EventJoined, EventEjected, EventRetried, EventShed, EventCrashed, EventQuarantined, EventLifted, EventClaimPlaced, EventClaimFenced, EventDiskFailed, EventRecovered}
+var _EventKindValues = []EventKind{EventStarted, EventStopped, EventElected, EventSteppedDown, EventLeaseLost, EventMemberChanged, EventAccepted, EventConflict, EventRefused, EventApplied, EventRejected, EventConfirmed, EventUnconfirmed, EventRelay, EventAnnounced, EventReady, EventDrained, EventGone, EventSuspected, EventDied, EventJoined, EventEjected, EventRetried, EventShed, EventCrashed, EventQuarantined, EventLifted, EventClaimPlaced, EventClaimFenced, EventDiskFailed, EventRecovered, EventBehind, EventPulled, EventPullLost}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:7]:     EventStarted,
@@ -91,6 +94,9 @@
 	_EventKindName[218:230]: EventClaimFenced,
 	_EventKindName[230:241]: EventDiskFailed,
 	_EventKindName[241:250]: EventRecovered,
+	_EventKindName[250:256]: EventBehind,
+	_EventKindName[256:262]: EventPulled,
+	_EventKindName[262:271]: EventPullLost,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -125,6 +131,9 @@
 	_EventKindLowerName[218:230]: EventClaimFenced,
 	_EventKindLowerName[230:241]: EventDiskFailed,
 	_EventKindLowerName[241:250]: EventRecovered,
+	_EventKindLowerName[250:256]: EventBehind,
+	_EventKindLowerName[256:262]: EventPulled,
+	_EventKindLowerName[262:271]: EventPullLost,
 }
 
 var _EventKindNames = []string{
@@ -159,6 +168,9 @@
 	_EventKindName[218:230],
 	_EventKindName[230:241],
 	_EventKindName[241:250],
+	_EventKindName[250:256],
+	_EventKindName[256:262],
+	_EventKindName[262:271],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -38,6 +38,8 @@
 type Effects struct {
 	// Changed is set when the table changed.
 	Changed bool
+	// RoundTrip is how long the probe that was just answered took, with the wait in front of both links; zero if none was.
+	RoundTrip tiller.Millis
 	// Messages are sent.
 	Messages []*wire.Envelope
 	// Events go to the time line.
--- a/membership/detector/receive.go
+++ b/membership/detector/receive.go
@@ -88,6 +88,7 @@
 
 	if c.probing.active && a.GetNonce() == c.probing.nonce && a.GetTarget() == c.probing.target {
 		c.probing.active = false
+		c.out.RoundTrip = max(c.now-c.probing.sentAt, 1)
 	}
 
 	if r, ok := c.relayed[a.GetNonce()]; ok {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -34,6 +34,10 @@
 	Claims []claimer.Result
 	// Announced are the tokens of strikes that the data centre has heard.
 	Announced []uint64
+	// ApplyLag is how long a newer version had been known when one was applied, none if none was.
+	ApplyLag tiller.Option[tiller.Millis]
+	// RoundTrip is how long the probe that was just answered took, none if none was.
+	RoundTrip tiller.Option[tiller.Millis]
 	// Events go to the time line.
 	Events []tiller.Event
 }
@@ -227,6 +231,10 @@
 	c.out.Messages = append(c.out.Messages, e.Messages...)
 	c.out.Events = append(c.out.Events, e.Events...)
 
+	if e.RoundTrip > 0 {
+		c.out.RoundTrip = tiller.Some(e.RoundTrip)
+	}
+
 	if c.detector.Self().GetIncarnation() != before {
 		c.member.SetIdentity(c.claimIdentity())
 	}
@@ -240,6 +248,7 @@
 
 	if e.Applied {
 		c.detector.SetOffer(c.subscriber.Offer())
+		c.out.ApplyLag = tiller.Some(e.Lag)
 	}
 
 	if e.Placed {
@@ -299,6 +308,12 @@
 // SetControllers replaces the controllers that the settings name.
 func (c *Core) SetControllers(addresses []tiller.Address) { c.subscriber.SetControllers(addresses) }
 
+// Lag returns how long a version newer than the one in force has been known, zero if none is.
+func (c *Core) Lag() tiller.Millis { return c.subscriber.Lag() }
+
+// ContactAge returns how long ago another process last told which version it holds.
+func (c *Core) ContactAge() tiller.Millis { return c.subscriber.ContactAge() }
+
 // Version returns the version in force.
 func (c *Core) Version() tiller.Version { return c.subscriber.Version() }
 
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -73,6 +73,7 @@
 
 	parts = append(parts,
 		runner.NewPart("timer", runner.Every(tickPeriod, s.tick), nil),
+		runner.NewPart("vitals", runner.Every(vitalsPeriod, s.reportVitals), nil),
 		runner.NewPart("calls", accept(s.calls, s.listeners[s.settings.CallAddress]), s.stopCalls),
 	)
 
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -68,6 +68,7 @@
 	drained   bool
 	leaving   atomic.Bool
 
+	vitals   *vitals
 	claims   waiters[string, claimer.Result]
 	strikes  waiters[uint64, struct{}]
 	token    atomic.Uint64
@@ -95,6 +96,7 @@
 	clock := tiller.SteadyClock()
 	hybrid := recorder.NewHybridClock(tiller.WallClock())
 	dc := tiller.DataCentre(settings.DataCentre)
+	v := newVitals(options.Metrics, options.Log)
 
 	s := &Server{
 		settings: settings, options: options, clock: clock, hybrid: hybrid,
@@ -105,8 +107,9 @@
 		balancer:  balancer.New(dc, newRandom()),
 		gate:      limiter.NewGate(limiter.New(limiter.Options{}), clock),
 		hops: exchanger.New(exchanger.Options{
-			Filter: hopFilter(settings, options.Filter), DialTimeout: hopDialTimeout, SilentTimeout: hopSilentTimeout,
+			Filter: hopFilter(settings, options.Filter), DialTimeout: hopDialTimeout, SilentTimeout: hopSilentTimeout, Meter: v.hops,
 		}),
+		vitals:   v,
 		backends: newBackends(options.Metrics),
 	}
 
@@ -172,6 +175,7 @@
 		Claims: (*claimAdapter)(s), Strikes: (*strikeAdapter)(s), Worker: (*workerAdapter)(s),
 		Hops: s.hops, Backends: s.backends, Recorder: s.ring, Metrics: s.options.Metrics, Service: tiller.Service(s.settings.Service),
 		Dialect: s.dialect(), Splitter: s.splitter, ConfirmCrashes: s.settings.ConfirmCrashes, Log: s.options.Log,
+		ContactAge: s.contactAge,
 	})
 
 	mux := http.NewServeMux()
@@ -183,10 +187,10 @@
 	s.control = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 
 	if s.settings.CallerAddress == "" {
-		s.calls = acceptor.New(s.forwarder, s.callerLimits)
+		s.calls = acceptor.New(s.forwarder, s.callerLimits, s.vitals.callers)
 	} else {
-		s.calls = acceptor.New(s.forwarder.HopHandler(), acceptor.DefaultLimits)
-		s.callers = acceptor.New(s.forwarder.CallerHandler(), s.callerLimits)
+		s.calls = acceptor.New(s.forwarder.HopHandler(), acceptor.DefaultLimits, s.vitals.hops)
+		s.callers = acceptor.New(s.forwarder.CallerHandler(), s.callerLimits, s.vitals.callers)
 	}
 
 	monitoring := http.NewServeMux()
@@ -230,6 +234,7 @@
 	}
 	s.mu.Unlock()
 
+	s.vitals.note(effects)
 	s.ring.Record(effects.Events...)
 	s.transport.Send(effects.Messages...)
 
@@ -329,6 +334,22 @@
 	}
 }
 
+func (s *Server) contactAge() tiller.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.core.ContactAge()
+}
+
+// reportVitals logs how far the node is behind and what its link carries.
+func (s *Server) reportVitals() {
+	s.mu.Lock()
+	version, behind, contact := s.core.Version(), s.core.Lag(), s.core.ContactAge()
+	s.mu.Unlock()
+
+	s.vitals.report(version, behind, contact)
+}
+
 // SetControllers replaces the controllers that the settings name.
 func (s *Server) SetControllers(addresses []tiller.Address) {
 	s.mu.Lock()
