Ask over a stream too once a pull got no answer

Cause: calls keep the queue in front of a node's link full, and a datagram that finds it full is dropped. Pulls were datagrams alone, so that a node heard of every new version, asked for each one and got no answer until the calls let up, 6.5 s later. The class: the repair of a loss goes the way that loses.

A stream waits where a datagram is dropped.

--- a/distribution/subscriber/pull.go
+++ b/distribution/subscriber/pull.go
@@ -72,6 +72,11 @@
 	c.wantWhole = false
 	c.wantDigest = false
 	c.send(to, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: p}})
+
+	if c.now < c.streamUntil && c.now >= c.streamAt {
+		c.streamAt = c.now + wholeTimeout
+		c.send(to, &wire.Envelope{Stream: true, Body: &wire.Envelope_Pull{Pull: p}})
+	}
 }
 
 // nextHolder turns to the next holder of the best version, since a pull or its answer was lost.
--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -137,7 +137,9 @@
 		return
 	}
 
-	if !c.pulling.active || c.pulling.from != from {
+	// A holder that was asked over a stream may answer when another one is being asked already.
+	late := d.GetNeedDigests() && c.now < c.streamUntil
+	if !late && (!c.pulling.active || c.pulling.from != from) {
 		c.onPushed(from, d)
 
 		return
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -28,6 +28,8 @@
 	wholeTimeout = tiller.Second
 	// differenceTimeout is some round trips between regions; a difference is small, and what is lost is asked for again.
 	differenceTimeout tiller.Millis = 300
+	// streamPeriod is how long a lost pull makes the next ones go over streams too; the queue in front of a full link lasts for seconds.
+	streamPeriod = 5 * tiller.Second
 	// maxHolders bounds the remembered holders of the best version, and maxPulls the pulls before new offers are waited for.
 	maxHolders = 4
 	maxPulls   = 8
@@ -116,6 +118,9 @@
 	confirmed   bool
 
 	pulling pull
+	// streamUntil is until when pulls go over streams too, since datagrams to or from this node are lost; the next one goes at streamAt.
+	streamUntil tiller.Millis
+	streamAt    tiller.Millis
 	// behindSince is since when a version newer than the one in force is known, zero if none is.
 	behindSince tiller.Millis
 	// contactAt is when another process last told which version it holds.
@@ -194,6 +199,7 @@
 	if c.pulling.active && c.now >= c.pulling.until {
 		c.pulling.active = false
 		c.emit(tiller.EventPullLost, "no answer in time", tiller.WithCause(c.pulling.from))
+		c.streamUntil = c.now + streamPeriod
 		c.nextHolder()
 	}
 
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -58,6 +58,8 @@
 	content map[string]string
 	// pulls counts the pulls that reach controllers in each second.
 	pulls map[tiller.Millis]int
+	// work is called before each step; it may be nil.
+	work func()
 }
 
 // newFleet starts three controllers and a number of nodes in each data centre.
@@ -196,6 +198,10 @@
 
 func (f *fleet) run(span tiller.Millis) {
 	for end := f.now + span; f.now < end; f.now += stepMs {
+		if f.work != nil {
+			f.work()
+		}
+
 		f.deliver()
 
 		for _, s := range f.sources {
--- a/process/transporter/transporter.go
+++ b/process/transporter/transporter.go
@@ -28,8 +28,9 @@
 	OverheadBytes = 28
 
 	readBufferBytes = 64 << 10
-	// deliverTimeout bounds one small delivery over TCP; what is lost is sent again by its sender's timers.
-	deliverTimeout = time.Second
+	// deliverTimeout bounds one small delivery over TCP, with the opening of a connection through full links: the bound on the time until a
+	// version is in force. What is lost is sent again by its sender's timers.
+	deliverTimeout = 2 * time.Second
 	// slowestLink is the rate, in bytes a second, at which a large message still arrives: a quarter of the narrowest link in use.
 	slowestLink    = 64 << 10
 	deliverWorkers = 64
@@ -142,7 +143,10 @@
 		return
 	}
 
-	stamped := &wire.Envelope{From: e.GetFrom(), To: e.GetTo(), Cluster: e.GetCluster(), Stamp: uint64(t.clock.Next()), Body: e.GetBody()}
+	stamped := &wire.Envelope{
+		From: e.GetFrom(), To: e.GetTo(), Cluster: e.GetCluster(), Stamp: uint64(t.clock.Next()),
+		Stream: e.GetStream(), Body: e.GetBody(),
+	}
 
 	data, err := proto.Marshal(stamped)
 	if err != nil {
@@ -154,7 +158,7 @@
 	t.sent.Inc(1)
 	t.countKind(stamped, len(data))
 
-	if len(data) <= MaxDatagramBytes {
+	if len(data) <= MaxDatagramBytes && !e.GetStream() {
 		t.sendDatagram(e.GetTo(), data)
 
 		return
