Probe a silent node over a stream before it is suspected

Nodes declared dead also fall out of the tree and get no pushes.

Probes and acknowledgements are datagrams, and a full link drops them. Found by looking for the same class elsewhere, and by TestNodeWhoseLinkIsFullAppliesEditsInTime with pushed differences, where nodes without children fell behind only after they had been declared dead.

The acknowledgement goes both as a datagram and over a stream.

TestNodeWhoseLinkIsFullIsNotDeclaredDead failed before (n0-7 was declared dead by n0-6).

--- a/internal/fleettest/narrow_test.go
+++ b/internal/fleettest/narrow_test.go
@@ -116,6 +116,23 @@
 	return worst
 }
 
+// fillLinks keeps the links of the nodes that now have some ranks full on the way out.
+func (f *fleet) fillLinks(ranks ...int) {
+	var full []string
+
+	for _, m := range f.nodes {
+		if slices.Contains(ranks, m.core.Rank()) {
+			full = append(full, string(m.identity.Address))
+		}
+	}
+
+	f.work = func() {
+		for _, address := range full {
+			f.net.Fill(f.now, address, standingQueue)
+		}
+	}
+}
+
 // TestNodeWhoseLinkIsFullAppliesEditsInTime guards against nodes that hear of new versions and cannot ask for them.
 func TestNodeWhoseLinkIsFullAppliesEditsInTime(t *testing.T) {
 	cases := []struct {
@@ -130,13 +147,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			f := narrowFleet(t, 2, 10)
-			f.work = func() {
-				for _, m := range f.nodes {
-					if slices.Contains(tc.ranks, m.core.Rank()) {
-						f.net.Fill(f.now, string(m.identity.Address), standingQueue)
-					}
-				}
-			}
+			f.fillLinks(tc.ranks...)
 
 			worst := f.storm(20, 4*stepMs)
 
@@ -145,3 +156,19 @@
 		})
 	}
 }
+
+// TestNodeWhoseLinkIsFullIsNotDeclaredDead guards against live workers that lose their calls since their acknowledgements are dropped.
+func TestNodeWhoseLinkIsFullIsNotDeclaredDead(t *testing.T) {
+	f := narrowFleet(t, 1, 12)
+	f.fillLinks(3, 4)
+
+	for range 30 {
+		f.run(tiller.Second)
+
+		for _, m := range f.nodes {
+			for _, e := range m.core.Entries() {
+				require.NotEqual(t, wire.Liveness_LIVENESS_DEAD, e.GetLiveness(), "%s was declared dead by %s", e.GetName(), m.identity.Name)
+			}
+		}
+	}
+}
--- a/membership/detector/probe.go
+++ b/membership/detector/probe.go
@@ -44,7 +44,15 @@
 	}
 }
 
+// probeIndirectly asks others to probe a silent node, and probes it over a stream: on a full link a datagram is dropped where a stream
+// only waits. The node is told what is said of it, so that it can refute.
 func (c *Core) probeIndirectly(p *probe) {
+	if target := c.table.entry(p.target); target != nil {
+		e := c.newProbe(p.nonce, p.target, "")
+		e.Entries = append(e.Entries, target)
+		c.send(target.GetAddress(), &wire.Envelope{Stream: true, Body: &wire.Envelope_Probe{Probe: e}})
+	}
+
 	helpers := slices.DeleteFunc(c.localAlive(), func(e *wire.NodeEntry) bool { return e.GetName() == p.target })
 	for _, h := range c.sample(helpers, indirectProbes) {
 		c.sendProbe(h.GetAddress(), p.nonce, p.target, c.self.GetAddress())
@@ -147,10 +155,13 @@
 
 // sendProbe asks for an acknowledgement; a zero nonce only carries entries and digests.
 func (c *Core) sendProbe(to string, nonce uint64, target, onBehalf string) {
-	c.send(to, &wire.Envelope{Body: &wire.Envelope_Probe{Probe: &wire.Probe{
-		Nonce: nonce, Target: target, OnBehalfOf: onBehalf,
-		Entries: c.piggyback(), Digests: c.someDigests(), Offer: c.offer,
-	}}})
+	c.send(to, &wire.Envelope{Body: &wire.Envelope_Probe{Probe: c.newProbe(nonce, target, onBehalf)}})
+}
+
+func (c *Core) newProbe(nonce uint64, target, onBehalf string) *wire.Probe {
+	return &wire.Probe{
+		Nonce: nonce, Target: target, OnBehalfOf: onBehalf, Entries: c.piggyback(), Digests: c.someDigests(), Offer: c.offer,
+	}
 }
 
 // piggyback returns the node's own entry and the freshest queued ones.
--- a/source/controller/controller.go
+++ b/source/controller/controller.go
@@ -185,7 +185,7 @@
 		c.tick()
 	case Receive:
 		c.receive(e.Envelope)
-		wire.AnswerAlike(e.Envelope, c.out.Messages)
+		c.out.Messages = wire.AnswerAlike(e.Envelope, c.out.Messages)
 	case Edit:
 		c.edit(e)
 	case Read:
--- a/wire/answer.go
+++ b/wire/answer.go
@@ -1,13 +1,24 @@
 // Package wire holds the messages between the processes of the system and between operators and the system.
 package wire
 
-// AnswerAlike makes the messages that answer one that came over a stream go the same way, since datagrams between the two are lost.
-func AnswerAlike(asked *Envelope, messages []*Envelope) {
+// AnswerAlike returns messages with those that answer one that came over a stream going the same way, since datagrams between the two
+// are lost. Acknowledgements of probes also go as datagrams, since they are waited for and only one direction may be lossy.
+func AnswerAlike(asked *Envelope, messages []*Envelope) []*Envelope {
 	if !asked.GetStream() {
-		return
+		return messages
 	}
 
 	for _, m := range messages {
-		m.Stream = m.GetStream() || m.GetTo() == asked.GetFrom()
+		if m.GetTo() != asked.GetFrom() || m.GetStream() {
+			continue
+		}
+
+		if m.GetProbeAck() != nil {
+			messages = append(messages, &Envelope{From: m.GetFrom(), To: m.GetTo(), Body: m.GetBody()})
+		}
+
+		m.Stream = true
 	}
+
+	return messages
 }
