Push the last changes so that one lost push heals with the next

Callers saw old versions on nodes that had missed one pushed difference: each later one was for another base, and until a pull got through none applied.

Cause: a pushed difference named exactly one base, and controllers only offered versions to relays, which then had to ask over the link that was full. Differences hold values and not steps, so that one from an earlier base gives the same result, and the content hash of the target tells whether it did.

A holder now takes a difference whose base is the held version or an earlier one; a push also holds the changes before the last one while it stays below 500 bytes; the leading controller pushes to relays.

--- a/distribution/holder/holder.go
+++ b/distribution/holder/holder.go
@@ -3,7 +3,11 @@
 package holder
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/distribution/differ"
@@ -20,7 +24,11 @@
 
 type revision struct {
 	version tiller.Version
-	items   []*wire.Item
+	// items are ordered by path.
+	items []*wire.Item
+	// touched holds at least the paths of the items that differ from the revision before, where comparable is set.
+	touched    []string
+	comparable bool
 }
 
 // Holder keeps the newest version and a few predecessors.
@@ -51,11 +59,28 @@
 
 // Set validates a version and puts it in force whole; an older or invalid one changes nothing.
 func (h *Holder) Set(version tiller.Version, items []*wire.Item) error {
+	upserts, removes := differ.Between(h.current.items, items)
+
+	return h.set(revision{version: version, items: items, touched: touchedBy(upserts, removes), comparable: !h.current.version.IsZero()})
+}
+
+// touchedBy returns the paths of a difference.
+func touchedBy(upserts []*wire.Item, removes []string) []string {
+	paths := slices.Clone(removes)
+	for _, item := range upserts {
+		paths = append(paths, item.GetPath())
+	}
+
+	return paths
+}
+
+func (h *Holder) set(next revision) error {
+	version := next.version
 	if !version.NewerThan(h.current.version) {
 		return eris.Wrapf(ErrStale, "have %s, got %s", h.current.version, version)
 	}
 
-	spec, err := h.decoder.Decode(items)
+	spec, err := h.decoder.Decode(next.items)
 	if err != nil {
 		return eris.Wrapf(err, "version %s", version)
 	}
@@ -66,7 +91,7 @@
 	}
 
 	h.remember()
-	h.current = revision{version: version, items: items}
+	h.current = next
 	h.document = document
 
 	return nil
@@ -120,6 +145,52 @@
 	d.NeedDigests = true
 }
 
+// redundantBytes is up to which size a pushed difference also holds the changes before the last one.
+const redundantBytes = 500
+
+// Latest returns the difference to the newest version, with the changes before the last one while it stays small, so that it also applies
+// at holders that missed those; nil if the last change alone takes more than a number of bytes.
+func (h *Holder) Latest(maxBytes int) *wire.Difference {
+	var best *wire.Difference
+
+	paths := tiller.NewSet[string]()
+
+	for i, r := len(h.recent)-1, h.current; i >= 0 && r.comparable; i-- {
+		for _, path := range r.touched {
+			paths.Add(path)
+		}
+
+		r = h.recent[i]
+
+		d := h.since(r.version, paths)
+		if proto.Size(d) > maxBytes {
+			break
+		}
+
+		best, maxBytes = d, redundantBytes
+	}
+
+	return best
+}
+
+// since returns the difference from a base to the newest version where the items that may differ are known.
+func (h *Holder) since(base tiller.Version, paths tiller.Set[string]) *wire.Difference {
+	d := &wire.Difference{Base: base.Wire(), Target: h.current.version.Wire()}
+
+	for _, path := range paths.Sorted() {
+		i, held := slices.BinarySearchFunc(h.current.items, path, func(item *wire.Item, path string) int {
+			return cmp.Compare(item.GetPath(), path)
+		})
+		if held {
+			d.Upserts = append(d.Upserts, h.current.items[i])
+		} else {
+			d.Removes = append(d.Removes, path)
+		}
+	}
+
+	return d
+}
+
 // Merge applies a difference to the held items. Nothing changes on an error.
 func (h *Holder) Merge(d *wire.Difference) error {
 	target := tiller.VersionOf(d.GetTarget())
@@ -133,22 +204,47 @@
 	}
 
 	items, err := differ.Apply(base, d.GetUpserts(), d.GetRemoves(), target)
-	if err != nil {
+
+	switch {
+	case err == nil:
+		return h.set(h.merged(d, items))
+	case !d.GetWhole() && tiller.VersionOf(d.GetBase()) != h.current.version:
+		return eris.Wrap(ErrOtherBase, err.Error())
+	default:
 		return err
 	}
-
-	return h.Set(target, items)
 }
 
-// mergeBase returns the items that the difference applies to.
-func (h *Holder) mergeBase(d *wire.Difference) ([]*wire.Item, error) {
+// merged returns the revision that a difference leads to.
+func (h *Holder) merged(d *wire.Difference, items []*wire.Item) revision {
+	next := revision{version: tiller.VersionOf(d.GetTarget()), items: items, comparable: !d.GetWhole()}
 	if d.GetWhole() {
-		return nil, nil
+		return next
 	}
 
-	if tiller.VersionOf(d.GetBase()) != h.current.version {
-		return nil, eris.Wrapf(ErrOtherBase, "have %s, base %s", h.current.version, tiller.VersionOf(d.GetBase()))
+	next.touched = touchedBy(d.GetUpserts(), d.GetRemoves())
+	for _, i := range d.GetStalePositions() {
+		if int(i) < len(h.current.items) {
+			next.touched = append(next.touched, h.current.items[i].GetPath())
+		}
 	}
 
-	return differ.Without(h.current.items, d.GetStalePositions()), nil
+	return next
+}
+
+// mergeBase returns the items that the difference applies to. A difference holds values and not steps, so that one from a version before
+// the held one applies as well; the content hash of the target tells whether it did.
+func (h *Holder) mergeBase(d *wire.Difference) ([]*wire.Item, error) {
+	base, held := tiller.VersionOf(d.GetBase()), h.current.version
+
+	switch {
+	case d.GetWhole():
+		return nil, nil
+	case base == held:
+		return differ.Without(h.current.items, d.GetStalePositions()), nil
+	case !d.GetFromDigests() && held.NewerThan(base) && !base.IsZero():
+		return h.current.items, nil
+	default:
+		return nil, eris.Wrapf(ErrOtherBase, "have %s, base %s", held, base)
+	}
 }
--- a/distribution/holder/holder_test.go
+++ b/distribution/holder/holder_test.go
@@ -171,3 +171,58 @@
 		}
 	})
 }
+
+// TestPushedDifferenceReachesHoldersThatMissedVersions checks that a pushed difference brings every holder from its base on to the newest
+// version, and changes nothing at the others.
+func TestPushedDifferenceReachesHoldersThatMissedVersions(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		timeouts := rapid.SliceOfN(rapid.IntRange(1, 5), 0, 8)
+		source := holder.New(8)
+		steps := rapid.IntRange(2, 6).Draw(rt, "steps")
+		behind := make([]*holder.Holder, steps)
+
+		for i := range steps {
+			v, items := version(rt, i+1, timeouts.Draw(rt, "timeouts")...)
+			require.NoError(rt, source.Set(v, items))
+
+			behind[i] = holder.New(0)
+			require.NoError(rt, behind[i].Set(v, items))
+		}
+
+		d := source.Latest(1 << 20)
+		require.NotNil(rt, d)
+
+		base := tiller.VersionOf(d.GetBase())
+		require.NotEqual(rt, source.Version(), base)
+
+		for _, h := range behind[:steps-1] {
+			before := h.Version()
+
+			if base.NewerThan(before) {
+				require.ErrorIs(rt, h.Merge(d), holder.ErrOtherBase)
+				require.Equal(rt, before, h.Version())
+
+				continue
+			}
+
+			require.NoError(rt, h.Merge(d))
+			require.Equal(rt, source.Version(), h.Version())
+			require.Equal(rt, encoder.Hash(source.Items()), encoder.Hash(h.Items()))
+		}
+	})
+}
+
+func TestPushedDifferenceHoldsEarlierChangesWhileItIsSmall(t *testing.T) {
+	source := holder.New(8)
+
+	for i := range 6 {
+		v, items := version(t, i+1, i, 1, 1, 1)
+		require.NoError(t, source.Set(v, items))
+	}
+
+	d := source.Latest(1000)
+	require.Equal(t, uint64(1), d.GetBase().GetIndex(), "the same route changed each time, so that all changes take the room of one")
+	require.Len(t, d.GetUpserts(), 1)
+
+	require.Nil(t, source.Latest(10), "a change that does not fit is not pushed")
+}
--- a/distribution/subscriber/receive.go
+++ b/distribution/subscriber/receive.go
@@ -192,7 +192,7 @@
 	c.emit(tiller.EventApplied, fmt.Sprintf("%s, %d ms behind", differenceText(d), c.Lag()), tiller.WithCause(from))
 	c.behindSince = 0
 	c.noteNewer(from, c.best)
-	c.push(d)
+	c.push()
 	c.report()
 	c.pullBest()
 
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"slices"
 
-	"google.golang.org/protobuf/proto"
-
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/distribution/holder"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
@@ -18,6 +16,8 @@
 const (
 	// RelaysPerDataCentre is how many nodes of a data centre pull from controllers.
 	RelaysPerDataCentre = 2
+	// MaxPushedBytes is the largest difference that is sent without being asked for; with its envelope it fits one datagram.
+	MaxPushedBytes = 1000
 	// FanOut is the number of children of a node in the tree of its data centre.
 	FanOut = 8
 	// LeasePeriod is how long a version counts as confirmed after the source's lease was seen.
@@ -35,9 +35,6 @@
 	maxPulls   = 8
 	// pushPeers is how many random peers hear of a new version beside the children in the tree, in case a message is lost.
 	pushPeers = 2
-	// maxPushedBytes is the largest difference that is sent without being asked for; with its envelope it fits one datagram.
-	maxPushedBytes = 1000
-
 	bootWindow tiller.Millis = 400
 	// bootPullPeriod is how often a node without a configuration asks a source that has none to give yet.
 	bootPullPeriod  tiller.Millis = 250
@@ -274,10 +271,11 @@
 	return slices.Clone(c.view.Peers[first:last])
 }
 
-// push spreads the version in force: children get the difference to the version before, as it came, where it is small. That saves the
-// round trip of a pull on links that are full.
-func (c *Core) push(d *wire.Difference) {
-	if d.GetWhole() || d.GetFromDigests() || proto.Size(d) > maxPushedBytes {
+// push spreads the version in force: children get the last changes where they are small. That saves the round trip of a pull on links
+// that are full.
+func (c *Core) push() {
+	d := c.holder.Latest(MaxPushedBytes)
+	if d == nil {
 		c.pushOffers()
 
 		return
--- a/source/controller/serve.go
+++ b/source/controller/serve.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/distribution/subscriber"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -137,8 +138,14 @@
 	}
 }
 
-// offerRelays tells the relays that pulled lately of a new version.
+// offerRelays tells the relays that pulled lately of a new version. The leader sends them the last changes where they are small, which saves
+// a round trip and reaches relays whose own messages are lost.
 func (c *Core) offerRelays() {
+	var pushed *wire.Difference
+	if c.log.Leader() == tiller.Address(c.member.GetAddress()) {
+		pushed = c.holder.Latest(subscriber.MaxPushedBytes)
+	}
+
 	for _, address := range sortedKeys(c.relays) {
 		r := c.relays[address]
 		if c.now >= r.seenAt+relayMemory {
@@ -148,7 +155,16 @@
 		}
 
 		r.offers = maxOffers
-		c.offerTo(address, r)
+
+		if pushed == nil {
+			c.offerTo(address, r)
+
+			continue
+		}
+
+		r.offerAt = c.now + offerPeriod
+		c.relays[address] = r
+		c.send(address, &wire.Envelope{Body: &wire.Envelope_Difference{Difference: pushed}})
 	}
 }
 
