Pace calls to the VM's link

Cause, one of several: the node wrote as fast as its sockets took it, so that the queue formed in front of the link, where each message and each small request waited behind answers of up to 30 KB and datagrams were dropped. The class: a shared resource without a queue of one's own.

A gate whose answer would wait too long refuses at once and adds the wait to the pace that it tells. The rate is the setting link_bytes_per_second, which the platform's file states.

--- a/calls/acceptor/acceptor.go
+++ b/calls/acceptor/acceptor.go
@@ -14,6 +14,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/meter"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/shaper"
 )
 
 // ErrClosed is returned by Serve after Shutdown or Close.
@@ -56,7 +57,7 @@
 type Acceptor struct {
 	handler http.Handler
 	limits  func() Limits
-	meter   *meter.Meter
+	options Options
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -65,9 +66,17 @@
 	closed    bool
 }
 
-// New returns an acceptor. The limits are asked for each request; the meter may be nil.
-func New(handler http.Handler, limits func() Limits, m *meter.Meter) *Acceptor {
-	return &Acceptor{handler: handler, limits: limits, meter: m, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
+// Options describe what the connections pass.
+type Options struct {
+	// Meter counts the bytes that pass the VM's link; it may be nil.
+	Meter *meter.Meter
+	// Shaper paces what goes out over the VM's link; it may be nil.
+	Shaper *shaper.Shaper
+}
+
+// New returns an acceptor. The limits are asked for each request.
+func New(handler http.Handler, limits func() Limits, options Options) *Acceptor {
+	return &Acceptor{handler: handler, limits: limits, options: options, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
 }
 
 // Serve accepts connections until the acceptor is shut down or closed; it then returns ErrClosed.
--- a/calls/acceptor/acceptor_test.go
+++ b/calls/acceptor/acceptor_test.go
@@ -29,7 +29,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
-	a := acceptor.New(handler, func() acceptor.Limits { return limits }, nil)
+	a := acceptor.New(handler, func() acceptor.Limits { return limits }, acceptor.Options{})
 	done := make(chan error, 1)
 
 	go func() { done <- a.Serve(l) }()
@@ -380,7 +380,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		near, far := net.Pipe()
 		l := &oneConn{conn: far, done: make(chan struct{})}
-		a := acceptor.New(http.HandlerFunc(echo), acceptor.DefaultLimits, nil)
+		a := acceptor.New(http.HandlerFunc(echo), acceptor.DefaultLimits, acceptor.Options{})
 		done := make(chan error, 1)
 
 		go func() { done <- a.Serve(l) }()
--- a/calls/acceptor/conn.go
+++ b/calls/acceptor/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -48,11 +49,30 @@
 func newConn(a *Acceptor, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), http.LocalAddrContextKey, raw.LocalAddr()))
 
-	return &conn{
-		acceptor: a, raw: raw, reader: bufio.NewReaderSize(a.meter.Reader(raw), readBufferBytes),
-		writer: bufio.NewWriterSize(a.meter.Writer(raw), writeBufferBytes),
-		ctx:    ctx, cancel: cancel, slots: make(chan struct{}, maxPipelined),
+	c := &conn{acceptor: a, raw: raw, ctx: ctx, cancel: cancel, slots: make(chan struct{}, maxPipelined)}
+
+	var (
+		in  io.Reader = raw
+		out io.Writer = raw
+	)
+
+	if !sameVM(raw) {
+		in = a.options.Meter.Reader(raw)
+		out = a.options.Meter.Writer(a.options.Shaper.Writer(ctx, raw))
 	}
+
+	c.reader = bufio.NewReaderSize(in, readBufferBytes)
+	c.writer = bufio.NewWriterSize(out, writeBufferBytes)
+
+	return c
+}
+
+// sameVM reports whether both ends of a connection are on this VM, so that its bytes pass no link.
+func sameVM(c net.Conn) bool {
+	remote, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	local, _, localErr := net.SplitHostPort(c.LocalAddr().String())
+
+	return errors.Join(err, localErr) == nil && (remote == local || net.ParseIP(remote).IsLoopback())
 }
 
 // abort closes the connection at once.
--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -78,7 +78,7 @@
 		return nil, &ExchangeError{err: err, refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 
-	e := &exchange{pool: x, conn: c, request: r}
+	e := &exchange{pool: x, conn: c, request: r, out: x.options.Shaper.Writer(ctx, c.writer)}
 	e.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 
 	a, failure := e.run()
@@ -94,7 +94,9 @@
 	pool    *Exchanger
 	conn    *conn
 	request Request
-	stop    func() bool
+	// out writes to the connection as the VM's link allows.
+	out  io.Writer
+	stop func() bool
 
 	mu      sync.Mutex
 	written bool
@@ -127,7 +129,7 @@
 // keep is written beside the reading.
 func (e *exchange) send() (bool, error) {
 	if e.request.Rest != nil {
-		w := bufio.NewWriterSize(e.conn.writer, writeBufferBytes)
+		w := bufio.NewWriterSize(e.out, writeBufferBytes)
 		e.writeHead(w)
 
 		go func() { e.setWritten(e.writeBody(w) == nil) }()
@@ -137,7 +139,7 @@
 
 	var sent bool
 
-	w := bufio.NewWriterSize(&countingWriter{writer: e.conn.writer, sent: &sent}, writeBufferBytes)
+	w := bufio.NewWriterSize(&countingWriter{writer: e.out, sent: &sent}, writeBufferBytes)
 	e.writeHead(w)
 	_, _ = w.Write(e.request.Prefix)
 	err := w.Flush()
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -21,6 +21,7 @@
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/meter"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/peeker"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/shaper"
 )
 
 const (
@@ -56,6 +57,8 @@
 	Opened func(to tiller.Address)
 	// Meter counts the bytes on the connections; it may be nil.
 	Meter *meter.Meter
+	// Shaper paces what goes out over the VM's link; it may be nil.
+	Shaper *shaper.Shaper
 }
 
 // Exchanger keeps idle connections by address. It is safe for concurrent use.
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -32,6 +32,13 @@
 		return
 	}
 
+	// An answer to a caller on this VM passes no link.
+	if err := f.linkFull(c.request); err != nil && !f.fromWorker(r) {
+		f.refuse(w, c, err)
+
+		return
+	}
+
 	answer, err := f.attempt(ctx, c)
 	if err != nil {
 		f.refuse(w, c, err.WithRetries(c.attempts.Spent()))
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -86,6 +86,8 @@
 	Log logr.Logger
 	// ContactAge returns how long ago another process last told which version it holds; it may be nil.
 	ContactAge func() tiller.Millis
+	// LinkWait returns how long an answer would wait for the VM's link now; it may be nil.
+	LinkWait func() tiller.Millis
 }
 
 // Forwarder is the HTTP handler of a node for callers and for other nodes.
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -281,6 +281,19 @@
 	require.Zero(t, nodes[2].backend.runs.Load())
 }
 
+func TestGateBehindAFullLinkRefusesAtOnceAndAnotherServes(t *testing.T) {
+	nodes := newNodes(t, ok, ok, ok)
+	nodes[0].state = wire.BackendState_BACKEND_STATE_DRAINING
+	nodes[1].forward.LinkWait = func() tiller.Millis { return 4 * tiller.Second }
+
+	for range 20 {
+		require.Equal(t, 200, send(t, nodes[0], "PUT", "/calls/1", "", "").status)
+	}
+
+	require.Zero(t, nodes[1].backend.runs.Load())
+	require.EqualValues(t, 20, nodes[2].backend.runs.Load())
+}
+
 func TestServerThatRefusesConnections(t *testing.T) {
 	nodes := newNodes(t, ok, ok)
 	nodes[1].backend.server.Close()
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -27,7 +27,13 @@
 	ctx, cancel := context.WithTimeout(r.Context(), (q.deadline - f.Clock.Now()).Duration())
 	defer cancel()
 
-	answer, err := f.admit(ctx, q)
+	err = f.linkFull(q)
+
+	var answer *Answer
+	if err == nil {
+		answer, err = f.admit(ctx, q)
+	}
+
 	if err != nil {
 		load, limit, pace := f.Gate.Load()
 		f.log.gateRefused(q, err, load, limit, pace)
@@ -46,7 +52,7 @@
 	h.Set(HeaderLength, strconv.Itoa(len(a.body)))
 	setInt(h, HeaderLoad, int64(load))
 	setInt(h, HeaderLimit, int64(limit))
-	setInt(h, HeaderPace, int64(pace))
+	setInt(h, HeaderPace, int64(pace+f.linkWait()))
 
 	if a.worker != "" {
 		h.Set(HeaderWorker, string(a.worker))
--- a/distribution/subscriber/subscriber.go
+++ b/distribution/subscriber/subscriber.go
@@ -34,7 +34,7 @@
 	maxHolders = 4
 	maxPulls   = 8
 	// pushPeers is how many random peers hear of a new version beside the children in the tree, in case a message is lost.
-	pushPeers = 2
+	pushPeers                = 2
 	bootWindow tiller.Millis = 400
 	// bootPullPeriod is how often a node without a configuration asks a source that has none to give yet.
 	bootPullPeriod  tiller.Millis = 250
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -88,7 +88,9 @@
 		return nil, err
 	}
 
-	transport, err := transporter.New(tiller.Address(settings.Address), settings.BindHost, hybrid, options.Filter, options.Metrics, options.Log)
+	transport, err := transporter.New(
+		tiller.Address(settings.Address), settings.BindHost, hybrid, options.Filter, options.Metrics, nil, options.Log,
+	)
 	if err != nil {
 		return nil, errors.Join(err, s.journal.Close())
 	}
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -18,7 +18,8 @@
 
 func (s *Server) listen() error {
 	transport, err := transporter.New(
-		tiller.Address(s.settings.Address), s.settings.BindHost, s.hybrid, s.options.Filter, s.options.Metrics, s.options.Log,
+		tiller.Address(s.settings.Address), s.settings.BindHost, s.hybrid, s.options.Filter, s.options.Metrics, s.link.Note,
+		s.options.Log,
 	)
 	if err != nil {
 		return err
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -21,6 +21,7 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/shaper"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/monitor"
@@ -68,7 +69,9 @@
 	drained   bool
 	leaving   atomic.Bool
 
-	vitals   *vitals
+	vitals *vitals
+	// link paces calls, nil where the settings do not tell its rate.
+	link     *shaper.Shaper
 	claims   waiters[string, claimer.Result]
 	strikes  waiters[uint64, struct{}]
 	token    atomic.Uint64
@@ -97,6 +100,7 @@
 	hybrid := recorder.NewHybridClock(tiller.WallClock())
 	dc := tiller.DataCentre(settings.DataCentre)
 	v := newVitals(options.Metrics, options.Log)
+	link := shaper.NewShaper(settings.LinkBytesPerSecond, clock)
 
 	s := &Server{
 		settings: settings, options: options, clock: clock, hybrid: hybrid,
@@ -108,8 +112,9 @@
 		gate:      limiter.NewGate(limiter.New(limiter.Options{}), clock),
 		hops: exchanger.New(exchanger.Options{
 			Filter: hopFilter(settings, options.Filter), DialTimeout: hopDialTimeout, SilentTimeout: hopSilentTimeout, Meter: v.hops,
+			Shaper: link,
 		}),
-		vitals:   v,
+		vitals: v, link: link,
 		backends: newBackends(options.Metrics),
 	}
 
@@ -175,7 +180,7 @@
 		Claims: (*claimAdapter)(s), Strikes: (*strikeAdapter)(s), Worker: (*workerAdapter)(s),
 		Hops: s.hops, Backends: s.backends, Recorder: s.ring, Metrics: s.options.Metrics, Service: tiller.Service(s.settings.Service),
 		Dialect: s.dialect(), Splitter: s.splitter, ConfirmCrashes: s.settings.ConfirmCrashes, Log: s.options.Log,
-		ContactAge: s.contactAge,
+		ContactAge: s.contactAge, LinkWait: s.link.Wait,
 	})
 
 	mux := http.NewServeMux()
@@ -187,10 +192,10 @@
 	s.control = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 
 	if s.settings.CallerAddress == "" {
-		s.calls = acceptor.New(s.forwarder, s.callerLimits, s.vitals.callers)
+		s.calls = acceptor.New(s.forwarder, s.callerLimits, acceptor.Options{Meter: s.vitals.callers, Shaper: s.link})
 	} else {
-		s.calls = acceptor.New(s.forwarder.HopHandler(), acceptor.DefaultLimits, s.vitals.hops)
-		s.callers = acceptor.New(s.forwarder.CallerHandler(), s.callerLimits, s.vitals.callers)
+		s.calls = acceptor.New(s.forwarder.HopHandler(), acceptor.DefaultLimits, acceptor.Options{Meter: s.vitals.hops, Shaper: s.link})
+		s.callers = acceptor.New(s.forwarder.CallerHandler(), s.callerLimits, acceptor.Options{Meter: s.vitals.callers, Shaper: s.link})
 	}
 
 	monitoring := http.NewServeMux()
@@ -347,7 +352,7 @@
 	version, behind, contact := s.core.Version(), s.core.Lag(), s.core.ContactAge()
 	s.mu.Unlock()
 
-	s.vitals.report(version, behind, contact)
+	s.vitals.report(version, behind, contact, s.link.Wait())
 }
 
 // SetControllers replaces the controllers that the settings name.
--- a/process/nodeserver/settings.go
+++ b/process/nodeserver/settings.go
@@ -49,6 +49,8 @@
 	Seeds []string `yaml:"seeds"`
 	// DrainMs is the longest wait for calls in flight at a stop, in milliseconds.
 	DrainMs int64 `yaml:"drain_ms"`
+	// LinkBytesPerSecond is what the VM's link carries each way; zero means that calls are not paced.
+	LinkBytesPerSecond int64 `yaml:"link_bytes_per_second"`
 	// Verbose logs every lost message.
 	Verbose bool `yaml:"verbose"`
 }
@@ -107,6 +109,10 @@
 		check(fmt.Sprintf("seeds[%d]", i), a)
 	}
 
+	if s.LinkBytesPerSecond < 0 {
+		fault("link_bytes_per_second", fmt.Sprintf("%d; a rate is not negative", s.LinkBytesPerSecond))
+	}
+
 	if len(s.Controllers) == 0 {
 		fault("controllers", "at least one controller is needed")
 	}
--- a/process/nodeserver/vitals.go
+++ b/process/nodeserver/vitals.go
@@ -57,12 +57,12 @@
 }
 
 // report writes one line with the state of the node and what has passed its link since the last one.
-func (v *vitals) report(version tiller.Version, behind, contact tiller.Millis) {
+func (v *vitals) report(version tiller.Version, behind, contact, linkWait tiller.Millis) {
 	v.behind.Update(int64(behind))
 	v.contact.Update(int64(contact))
 
 	fields := []any{
-		"version", version.String(), "behind_ms", int64(behind), "contact_age_ms", int64(contact),
+		"version", version.String(), "behind_ms", int64(behind), "contact_age_ms", int64(contact), "link_wait_ms", int64(linkWait),
 		"round_trip_p50_ms", time.Duration(v.roundTrip.Percentile(median)).Milliseconds(),
 		"round_trip_max_ms", time.Duration(v.roundTrip.Max()).Milliseconds(),
 	}
--- a/process/transporter/transporter.go
+++ b/process/transporter/transporter.go
@@ -59,12 +59,13 @@
 	delivering map[string]int
 	resolved   sync.Map
 	sent       metrics.Counter
-	sentBytes  metrics.Counter
 	received   metrics.Counter
 	lost       metrics.Counter
 	// kinds counts the bytes sent by the kind of message.
 	kinds    sync.Map
 	registry metrics.Registry
+	// onSent is told how many bytes each message takes on the link.
+	onSent func(bytes int)
 }
 
 // bodies is the choice of what an envelope carries.
@@ -79,9 +80,10 @@
 type Filter func(from, to tiller.Address) bool
 
 // New opens the datagram socket of a process that others know by an address, on the bind host if there is one. The receiver is set
-// with Attach before Run.
+// with Attach before Run. The function onSent is told how many bytes each message takes on the link; it may be nil.
 func New(
-	address tiller.Address, bindHost string, clock *recorder.HybridClock, filter Filter, registry metrics.Registry, log logr.Logger,
+	address tiller.Address, bindHost string, clock *recorder.HybridClock, filter Filter, registry metrics.Registry, onSent func(bytes int),
+	log logr.Logger,
 ) (*Transporter, error) {
 	udp, err := net.ResolveUDPAddr("udp", Bound(string(address), bindHost))
 	if err != nil {
@@ -97,8 +99,15 @@
 	_ = conn.SetReadBuffer(socketBufferSize)
 
 	sentBytes := metrics.GetOrRegisterCounter("control.sent_bytes", registry)
+	count := func(bytes int) {
+		sentBytes.Inc(int64(bytes))
 
-	client, err := newClient(func(bytes int) { sentBytes.Inc(int64(bytes + httpOverhead)) })
+		if onSent != nil {
+			onSent(bytes)
+		}
+	}
+
+	client, err := newClient(func(bytes int) { count(bytes + httpOverhead) })
 	if err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
@@ -107,12 +116,12 @@
 		address: address, conn: conn, clock: clock, filter: filter, log: log,
 		pool:  pond.NewPool(deliverWorkers, pond.WithQueueSize(deliverQueue), pond.WithNonBlocking(true)),
 		peers: map[string]wire.Peer{}, delivering: map[string]int{},
-		client:    client,
-		registry:  registry,
-		sent:      metrics.GetOrRegisterCounter("control.sent_messages", registry),
-		sentBytes: sentBytes,
-		received:  metrics.GetOrRegisterCounter("control.received_bytes", registry),
-		lost:      metrics.GetOrRegisterCounter("control.lost_messages", registry),
+		client:   client,
+		registry: registry,
+		sent:     metrics.GetOrRegisterCounter("control.sent_messages", registry),
+		onSent:   count,
+		received: metrics.GetOrRegisterCounter("control.received_bytes", registry),
+		lost:     metrics.GetOrRegisterCounter("control.lost_messages", registry),
 	}, nil
 }
 
@@ -218,7 +227,7 @@
 }
 
 func (t *Transporter) sendDatagram(to string, data []byte) {
-	t.sentBytes.Inc(int64(len(data) + OverheadBytes))
+	t.onSent(len(data) + OverheadBytes)
 
 	address, err := t.resolve(to)
 	if err == nil {
--- a/process/transporter/transporter_test.go
+++ b/process/transporter/transporter_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 
 	clock := recorder.NewHybridClock(tiller.WallClock())
-	x, err := transporter.New("127.0.0.1:0", "", clock, nil, metrics.NewRegistry(), logr.Discard())
+	x, err := transporter.New("127.0.0.1:0", "", clock, nil, metrics.NewRegistry(), nil, logr.Discard())
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, x.Close(context.Background())) })
 
