End calls whose server sends an answer to another request without end

A server that sends the head of another request's answer and a body without end held the call, its slot and its connection until the caller's deadline: the body was read to its end so that the connection could be kept. At most 256 KiB of it are read now. The other ten ways of sending without end were bounded already: the head by 64 KiB, interim answers and answers to other requests by four.

--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -276,7 +276,7 @@
 			return resp, begun, nil
 		}
 
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skip(resp.Body); err != nil {
 			return nil, begun, err
 		}
 	}
@@ -284,6 +284,16 @@
 	return nil, begun, ErrForeign
 }
 
+// skip reads the body of an answer to another request; one without an end would hold the connection until the caller's deadline.
+func skip(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
+	if err == nil && n > maxForeignBytes {
+		return ErrForeign
+	}
+
+	return err
+}
+
 // end releases the connection, to the pool if it is at the next request.
 func (e *exchange) end(reusable bool) {
 	e.mu.Lock()
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -43,6 +43,8 @@
 	maxHeaderBytes   = 64 << 10
 	maxIdle          = 128
 	maxForeign       = 4
+	// maxForeignBytes is how much of the body of an answer to another request is read to keep the connection.
+	maxForeignBytes = 256 << 10
 )
 
 // Options describe a pool.
