--- a/calls/exchanger/endless_test.go
+++ b/calls/exchanger/endless_test.go
@@ -64,7 +64,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 
-			_, failure := x.Do(ctx, owned(s)) //nolint:bodyclose // there is no answer
+			_, failure := x.Do(ctx, owned(s))
 			require.Error(t, failure)
 			require.NoError(t, ctx.Err(), "the call ends by what it has read")
 			require.False(t, failure.Broken() && !failure.Sent())
