--- a/distribution/subscriber/pull.go
+++ b/distribution/subscriber/pull.go
@@ -74,7 +74,7 @@
 	c.send(to, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: p}})
 
 	if c.now < c.streamUntil && c.now >= c.streamAt {
-		c.streamAt = c.now + wholeTimeout
+		c.streamAt = c.now + differenceTimeout
 		c.send(to, &wire.Envelope{Stream: true, Body: &wire.Envelope_Pull{Pull: p}})
 	}
 }
