Wait at the own worker where that is shorter than the way to another one

Cause: a call left its VM as soon as no slot was free there, although the way to another worker and back takes longer than the wait. Each such call also fills two links, which makes the way longer for all.

A node averages what the way costs, the time of a call elsewhere without what its gate and its server took, and waits at its own gate while the wait there is shorter. Heads between nodes shrink: what the other node assumes by itself is left out, attempts have short names. The log tells queue and run of late calls.

--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -36,7 +36,9 @@
 	// failureHalfLife is how fast failures are forgotten, in milliseconds, so that a worker which recovers is tried again.
 	failureHalfLife = 4000.0
 	paceWeight      = 64
-	defaultPace     = 100
+	// hopWeight is how many requests the mean time of the way to other workers spans.
+	hopWeight   = 32
+	defaultPace = 100
 	// Choices is how many candidates are compared unless a policy says otherwise.
 	Choices = 2
 	// coldShare is the part of its usual load that a server takes while it says that it is slow.
@@ -108,6 +110,8 @@
 	seen       map[tiller.Worker]*observation
 	// pace is the mean over the workers that tell theirs.
 	pace float64
+	// hop is the moving average of the time that the way to another worker and back takes, in milliseconds.
+	hop float64
 }
 
 // New returns a balancer for a node of the given data centre.
@@ -358,6 +362,22 @@
 	}
 }
 
+// NoteHop counts the time of a request at another worker without what its gate and its server took.
+func (b *Balancer) NoteHop(took tiller.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.hop += (float64(max(took, 0)) - b.hop) / hopWeight
+}
+
+// HopTime returns how long the way to another worker and back takes.
+func (b *Balancer) HopTime() tiller.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return tiller.Millis(b.hop)
+}
+
 // Forget drops what was seen of workers that are no longer known.
 func (b *Balancer) Forget(known tiller.Set[tiller.Worker]) {
 	b.mu.Lock()
--- a/calls/forwarder/answer.go
+++ b/calls/forwarder/answer.go
@@ -24,7 +24,10 @@
 	// worker tells who answered, empty if it is the kept answer of an earlier send.
 	worker   tiller.Worker
 	replayed bool
-	onClose  []func()
+	// queued and ran are how long the request waited at the gate and ran on the backend server, zero if the gate does not tell.
+	queued  tiller.Millis
+	ran     tiller.Millis
+	onClose []func()
 }
 
 func wholeAnswer(status int, header http.Header, body []byte) *Answer {
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
-
-	"github.com/google/uuid"
+	"strconv"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
@@ -154,7 +154,7 @@
 func (f *Forwarder) attemptAt(ctx context.Context, c *call, backend tiller.Backend, noWait bool) (*Answer, *tiller.CallError) {
 	q := *c.request
 	q.noWait = noWait
-	q.attempt = uuid.NewString()
+	q.attempt = newAttempt()
 	q.chainLeft = c.attempts.ChainLeft()
 	q.strikes = f.Register.Count(q.digest)
 
@@ -174,12 +174,19 @@
 	return answer, err
 }
 
+// attemptBase is the base in which attempts are numbered, for short names.
+const attemptBase = 36
+
+// newAttempt returns a name for an attempt that no other one on its connection has.
+func newAttempt() string { return strconv.FormatUint(rand.Uint64(), attemptBase) }
+
 // send hands the attempt to the gate of the chosen worker.
 func (f *Forwarder) send(ctx context.Context, q *request, backend tiller.Backend, limit int64) (*Answer, *tiller.CallError) {
 	if backend.Worker() == f.Name {
 		return f.admit(ctx, q)
 	}
 
+	began := f.Clock.Now()
 	done := measure(f.stages.hop)
 	x, failed := f.Hops.Do(ctx, exchanger.Request{
 		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: q.hopHeader(f.Clock.Now(), backend),
@@ -201,7 +208,12 @@
 	f.Balancer.Report(f.Clock.Now(), backend.Worker(), balancer.NewLoad(
 		int(headerInt(h, HeaderLoad, 0)), int(headerInt(h, HeaderLimit, 1)), tiller.Millis(headerInt(h, HeaderPace, 0))))
 
-	return f.checkHop(q, answer)
+	answer, err = f.checkHop(q, answer, backend.Worker())
+	if err == nil && answer.ran > 0 {
+		f.Balancer.NoteHop(f.Clock.Now() - began - answer.queued - answer.ran)
+	}
+
+	return answer, err
 }
 
 // takeRest returns what is left of a body that can be sent only once.
@@ -215,8 +227,8 @@
 	return q.body.rest
 }
 
-// checkHop makes sure that the answer of another node is whole and belongs to this attempt.
-func (f *Forwarder) checkHop(q *request, a *Answer) (*Answer, *tiller.CallError) {
+// checkHop makes sure that the answer of another node is whole and belongs to this attempt at its worker.
+func (f *Forwarder) checkHop(q *request, a *Answer, worker tiller.Worker) (*Answer, *tiller.CallError) {
 	if a.header.Get(HeaderAttempt) != q.attempt {
 		a.close()
 
@@ -231,8 +243,12 @@
 		return nil, refusalOf(a)
 	}
 
-	a.worker = tiller.Worker(a.header.Get(HeaderWorker))
 	a.replayed = a.header.Get(HeaderReplayed) != ""
+	if !a.replayed {
+		a.worker = worker
+	}
+
+	a.queued, a.ran = tiller.Millis(headerInt(a.header, HeaderQueue, 0)), tiller.Millis(headerInt(a.header, HeaderRun, 0))
 
 	return a, nil
 }
@@ -244,10 +260,17 @@
 	h.Set(HeaderService, string(q.service))
 	h.Set(HeaderOrigin, string(q.origin))
 	h.Set(HeaderRoute, q.route)
-	h.Set(HeaderCause, q.cause)
 	setInt(h, HeaderPriority, int64(q.priority))
 	setInt(h, HeaderDeadline, int64(max(q.deadline-now, 0)))
-	setInt(h, HeaderRetriesLeft, int64(q.chainLeft))
+
+	// What the other node assumes by itself is left out: on narrow links each header counts.
+	if q.cause != q.id {
+		h.Set(HeaderCause, q.cause)
+	}
+
+	if q.chainLeft != defaultChainRetries {
+		setInt(h, HeaderRetriesLeft, int64(q.chainLeft))
+	}
 
 	if q.aim > 0 {
 		setInt(h, HeaderAim, int64(q.aim-now))
--- a/calls/forwarder/gate.go
+++ b/calls/forwarder/gate.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -54,8 +55,12 @@
 	setInt(h, HeaderLimit, int64(limit))
 	setInt(h, HeaderPace, int64(pace+f.linkWait()))
 
-	if a.worker != "" {
-		h.Set(HeaderWorker, string(a.worker))
+	if a.queued > 0 {
+		setInt(h, HeaderQueue, int64(a.queued))
+	}
+
+	if a.ran > 0 {
+		setInt(h, HeaderRun, int64(a.ran))
 	}
 
 	if a.replayed {
@@ -91,8 +96,8 @@
 		route: r.Header.Get(HeaderRoute), service: f.Service, origin: tiller.Service(r.Header.Get(HeaderOrigin)),
 		priority: int(headerInt(r.Header, HeaderPriority, 0)), aim: aimFrom(f.Clock.Now(), r.Header), deadline: deadline,
 		atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", noWait: r.Header.Get(HeaderNoWait) != "",
-		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: r.Header.Get(HeaderCause),
-		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, 0)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
+		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: cmp.Or(r.Header.Get(HeaderCause), terms.ID()),
+		chainLeft: int(headerInt(r.Header, HeaderRetriesLeft, defaultChainRetries)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
 		digest: quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.kept),
 	}, nil
 }
@@ -124,6 +129,7 @@
 
 	own := f.Table.Load().Own()
 
+	arrived := f.Clock.Now()
 	done := measure(f.stages.queue)
 	slot, err := f.Gate.Acquire(ctx, q.demand())
 
@@ -133,9 +139,14 @@
 		return nil, err
 	}
 
+	started := f.Clock.Now()
 	answer, err := f.admitted(ctx, q, target, own)
 	outcome := outcomeOf(answer, err)
 
+	if answer != nil {
+		answer.queued, answer.ran = started-arrived, f.Clock.Now()-started
+	}
+
 	if answer == nil || answer.rest == nil {
 		slot.Release(outcome)
 	} else {
@@ -334,7 +345,9 @@
 	answer.worker = f.Name
 	retries := retriesSpent(answer.header)
 	answer.header = endToEnd(answer.header)
-	setInt(answer.header, HeaderRetriesSpent, int64(retries))
+	if retries > 0 {
+		setInt(answer.header, HeaderRetriesSpent, int64(retries))
+	}
 
 	return answer, nil
 }
--- a/calls/forwarder/header.go
+++ b/calls/forwarder/header.go
@@ -59,6 +59,10 @@
 	HeaderLimit = "Tiller-Limit"
 	// HeaderPace carries the milliseconds that a request takes at the worker on the way back between nodes.
 	HeaderPace = "Tiller-Pace-Ms"
+	// HeaderQueue carries the milliseconds that a request waited at the gate on the way back between nodes, absent for none.
+	HeaderQueue = "Tiller-Queue-Ms"
+	// HeaderRun carries the milliseconds that a request ran on the backend server on the way back between nodes.
+	HeaderRun = "Tiller-Run-Ms"
 	// HeaderLength repeats the length of the whole answer between nodes.
 	HeaderLength = "Tiller-Length"
 )
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -32,7 +32,7 @@
 
 	if line.Enabled() {
 		line.Info(message, append(l.describe(c), "worker", string(a.worker), "status", a.status, "attempts", c.attempts.Made(),
-			"took_ms", int64(l.clock.Now()-c.request.began))...)
+			"took_ms", int64(l.clock.Now()-c.request.began), "queue_ms", int64(a.queued), "run_ms", int64(a.ran))...)
 	}
 }
 
--- a/calls/forwarder/search.go
+++ b/calls/forwarder/search.go
@@ -100,6 +100,13 @@
 		}
 	}
 
+	// A short wait here ends sooner than the way to another worker and back.
+	if !met.Has(f.Name) && c.request.service == f.Service && f.Gate.Wait(c.request.demand()) < f.Balancer.HopTime() {
+		if backend, ok = f.Balancer.PickComfortable(now, among(candidates, f.Name), policy).Get(); ok {
+			return backend, false, true
+		}
+	}
+
 	// Asking elsewhere would cost bytes between data centres where waiting nearby is often as good.
 	if s.asked < maxAsked {
 		if backend, ok = f.Balancer.Pick(now, f.near(candidates), met, policy).Get(); ok {
--- a/calls/forwarder/search_test.go
+++ b/calls/forwarder/search_test.go
@@ -93,6 +93,31 @@
 	require.NotEqual(t, "w1", send(t, nodes[1], "GET", "/easy/1", "", "").header.Get(forwarder.HeaderWorker))
 }
 
+// TestCallWaitsAtTheOwnWorkerWhereThatIsShorterThanTheWay fills the own gate with requests that end sooner than a call elsewhere arrives.
+func TestCallWaitsAtTheOwnWorkerWhereThatIsShorterThanTheWay(t *testing.T) {
+	nodes := newNodes(t, ok, ok, ok)
+	send(t, nodes[1], "GET", "/easy/1", "", "")
+
+	release := occupy(t, nodes[1])
+	for range 100 {
+		nodes[1].forward.Balancer.NoteHop(500)
+	}
+
+	answers := make(chan answer, 1)
+
+	go func() { answers <- send(t, nodes[1], "GET", "/easy/1", "", "") }()
+
+	require.Eventually(t, func() bool {
+		waiting := 0
+		nodes[1].forward.Gate.Do(func(c *limiter.Core) { waiting = c.Waiting() })
+
+		return waiting == 1
+	}, 5*time.Second, time.Millisecond)
+
+	release()
+	require.Equal(t, "w1", (<-answers).header.Get(forwarder.HeaderWorker))
+}
+
 // TestOwnWorkerThatFailsIsLeftToChance keeps no call at the own worker for its nearness alone once it fails.
 func TestOwnWorkerThatFailsIsLeftToChance(t *testing.T) {
 	nodes := newNodes(t, truncate, ok, ok)
--- a/calls/limiter/gate.go
+++ b/calls/limiter/gate.go
@@ -87,6 +87,14 @@
 	return g.core.Free()
 }
 
+// Wait estimates how long a request would wait for a slot.
+func (g *Gate) Wait(d Demand) tiller.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.core.Wait(g.clock.Now(), d)
+}
+
 // Load returns the number of requests that run or wait, the limit, and how long requests take.
 func (g *Gate) Load() (load, limit int, pace tiller.Millis) {
 	g.mu.Lock()
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -182,6 +182,15 @@
 	c.enqueue(t)
 }
 
+// Wait estimates how long a request would wait for a slot.
+func (c *Core) Wait(now tiller.Millis, d Demand) tiller.Millis {
+	if c.Free() {
+		return 0
+	}
+
+	return c.wait(c.workBefore(&Ticket{demand: d, queued: now}))
+}
+
 // workBefore returns the expected work of the requests that would run before one, in milliseconds.
 func (c *Core) workBefore(t *Ticket) float64 {
 	work := 0.0
