--- a/calls/forwarder/explain_test.go
+++ b/calls/forwarder/explain_test.go
@@ -171,7 +171,8 @@
 			Name: name, DataCentre: string(centre), CallAddress: "127.0.0.1:1", Service: "board", State: wire.BackendState_BACKEND_STATE_READY, Slots: 1,
 		}
 	}
-	first := forwarder.NewTable(tiller.NewVersion(1, 2, []byte("hash")), document(t), tiller.NewPlace(centre, "board", "w0"), []*wire.NodeEntry{entry("w0")})
+	place := tiller.NewPlace(centre, "board", "w0")
+	first := forwarder.NewTable(tiller.NewVersion(1, 2, []byte("hash")), document(t), place, []*wire.NodeEntry{entry("w0")})
 	second := first.WithEntries([]*wire.NodeEntry{entry("w1"), entry("w2")})
 
 	require.Equal(t, first.Version(), second.Version())
