Compute and encode a difference once for all that ask for it

Cause: each of the eight children of a relay asked for the same difference, which was computed anew, and encoded once to learn its size and once to send it, on VMs with 0.16 cores. A holder now keeps its answers until the next version, and the size is worked out without encoding. A closing process waits half a second at most for deliveries, which may take longer since streams carry small messages too.

The vitals line tells the processor time, so that the next incident need not guess it.

--- a/distribution/holder/holder.go
+++ b/distribution/holder/holder.go
@@ -38,6 +38,8 @@
 	decoder  *encoder.Decoder
 	recent   []revision
 	keep     int
+	// answers holds the differences to the newest version from recent bases that were asked for: many holders ask for the same one.
+	answers map[tiller.Version]*wire.Difference
 }
 
 // New returns a holder that remembers a number of predecessors to compute differences from.
@@ -92,6 +94,7 @@
 
 	h.remember()
 	h.current = next
+	h.answers = map[tiller.Version]*wire.Difference{}
 	h.document = document
 
 	return nil
@@ -126,23 +129,30 @@
 		d.Upserts = differ.Missing(p.GetItemDigests(), h.current.items)
 		d.StalePositions = differ.Stale(p.GetItemDigests(), h.current.items)
 	default:
-		h.fromBase(d, have)
+		return h.fromBase(d, have)
 	}
 
 	return d
 }
 
 // fromBase fills in the difference to a remembered base, or asks for the puller's item digests.
-func (h *Holder) fromBase(d *wire.Difference, base tiller.Version) {
+func (h *Holder) fromBase(d *wire.Difference, base tiller.Version) *wire.Difference {
+	if known, ok := h.answers[base]; ok {
+		return known
+	}
+
 	for _, r := range h.recent {
 		if r.version == base {
 			d.Upserts, d.Removes = differ.Between(r.items, h.current.items)
+			h.answers[base] = d
 
-			return
+			return d
 		}
 	}
 
 	d.NeedDigests = true
+
+	return d
 }
 
 // redundantBytes is up to which size a pushed difference also holds the changes before the last one.
--- a/process/nodeserver/vitals.go
+++ b/process/nodeserver/vitals.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/meter"
@@ -30,6 +31,8 @@
 	hops      *meter.Meter
 	callers   *meter.Meter
 	last      map[string]int64
+	// processor is the processor time that the process had used at the last report.
+	processor time.Duration
 }
 
 func newVitals(registry metrics.Registry, log logr.Logger) *vitals {
@@ -67,7 +70,7 @@
 		"round_trip_max_ms", time.Duration(v.roundTrip.Max()).Milliseconds(),
 	}
 
-	log := v.log
+	log := v.log.WithValues("processor_ms", v.processorTime().Milliseconds())
 
 	for _, name := range []string{
 		"control.sent_bytes", "control.received_bytes", "control.lost_messages",
@@ -79,6 +82,20 @@
 	log.Info("vitals", fields...)
 }
 
+// processorTime returns the processor time that the process has used since the last report, zero if the operating system does not tell.
+func (v *vitals) processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+
+	used := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	grown := used - v.processor
+	v.processor = used
+
+	return grown
+}
+
 // since returns by how much a counter has grown since the last report.
 func (v *vitals) since(name string) int64 {
 	count := metrics.GetOrRegisterCounter(name, v.registry).Count()
--- a/process/transporter/transporter.go
+++ b/process/transporter/transporter.go
@@ -31,6 +31,8 @@
 	// deliverTimeout bounds one small delivery over TCP, with the opening of a connection through full links: the bound on the time until a
 	// version is in force. What is lost is sent again by its sender's timers.
 	deliverTimeout = 2 * time.Second
+	// closeTimeout is how long deliveries go on after the transporter is closed, a part of the time that a process has to stop.
+	closeTimeout = 500 * time.Millisecond
 	// slowestLink is the rate, in bytes a second, at which a large message still arrives: a quarter of the narrowest link in use.
 	slowestLink    = 64 << 10
 	deliverWorkers = 64
@@ -64,6 +66,9 @@
 	// kinds counts the bytes sent by the kind of message.
 	kinds    sync.Map
 	registry metrics.Registry
+	// ctx ends the deliveries under way some time after the transporter is closed.
+	ctx    context.Context //nolint:containedctx // it lives as long as the transporter
+	cancel context.CancelFunc
 	// onSent is told how many bytes each message takes on the link.
 	onSent func(bytes int)
 }
@@ -112,7 +117,10 @@
 		return nil, errors.Join(err, conn.Close())
 	}
 
+	ctx, cancel := context.WithCancel(context.Background())
+
 	return &Transporter{
+		ctx: ctx, cancel: cancel,
 		address: address, conn: conn, clock: clock, filter: filter, log: log,
 		pool:  pond.NewPool(deliverWorkers, pond.WithQueueSize(deliverQueue), pond.WithNonBlocking(true)),
 		peers: map[string]wire.Peer{}, delivering: map[string]int{},
@@ -157,18 +165,12 @@
 		Stream: e.GetStream(), Body: e.GetBody(),
 	}
 
-	data, err := proto.Marshal(stamped)
-	if err != nil {
-		t.lose(err, "encode message", e.GetTo())
-
-		return
-	}
-
+	size := proto.Size(stamped)
 	t.sent.Inc(1)
-	t.countKind(stamped, len(data))
+	t.countKind(stamped, size)
 
-	if len(data) <= MaxDatagramBytes && !e.GetStream() {
-		t.sendDatagram(e.GetTo(), data)
+	if size <= MaxDatagramBytes && !e.GetStream() {
+		t.sendDatagram(stamped)
 
 		return
 	}
@@ -179,7 +181,7 @@
 		return
 	}
 
-	if _, ok := t.pool.TrySubmit(func() { t.deliver(stamped, len(data)) }); !ok {
+	if _, ok := t.pool.TrySubmit(func() { t.deliver(stamped, size) }); !ok {
 		t.release(e.GetTo())
 		t.lost.Inc(1)
 	}
@@ -226,7 +228,16 @@
 	}
 }
 
-func (t *Transporter) sendDatagram(to string, data []byte) {
+func (t *Transporter) sendDatagram(e *wire.Envelope) {
+	to := e.GetTo()
+
+	data, err := proto.Marshal(e)
+	if err != nil {
+		t.lose(err, "encode message", to)
+
+		return
+	}
+
 	t.onSent(len(data) + OverheadBytes)
 
 	address, err := t.resolve(to)
@@ -262,7 +273,7 @@
 func (t *Transporter) deliver(e *wire.Envelope, size int) {
 	defer t.release(e.GetTo())
 
-	ctx, cancel := context.WithTimeout(context.Background(), DeliveryTimeout(size))
+	ctx, cancel := context.WithTimeout(t.ctx, DeliveryTimeout(size))
 	defer cancel()
 
 	if _, err := t.peer(e.GetTo()).Deliver(ctx, e); err != nil {
@@ -343,7 +354,11 @@
 
 // Close stops sending and receiving.
 func (t *Transporter) Close(_ context.Context) error {
+	timer := time.AfterFunc(closeTimeout, t.cancel)
+
 	t.pool.StopAndWait()
+	timer.Stop()
+	t.cancel()
 	t.client.CloseIdleConnections()
 
 	return eris.Wrap(t.conn.Close(), "close datagram socket")
--- a/process/transporter/transporter_test.go
+++ b/process/transporter/transporter_test.go
@@ -36,36 +36,54 @@
 	return &wire.Envelope{To: to, Body: &wire.Envelope_Append{Append: &wire.Append{Entries: []*wire.Entry{{Data: data}}}}}
 }
 
-// TestSilentPeerHoldsUpNoOther floods a process that accepts connections and never answers, then writes to another one.
-func TestSilentPeerHoldsUpNoOther(t *testing.T) {
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-
-	defer silent.Close()
+// newReceiver takes messages over streams alone and counts them.
+func newReceiver(t *testing.T) (string, *atomic.Int64) {
+	t.Helper()
 
-	var received atomic.Int64
+	received := &atomic.Int64{}
 
-	healthy := newTransporter(t)
-	healthy.Attach(tiller.ReceiverFunc(func(*wire.Envelope) { received.Add(1) }))
+	x := newTransporter(t)
+	x.Attach(tiller.ReceiverFunc(func(*wire.Envelope) { received.Add(1) }))
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
 	mux := http.NewServeMux()
-	healthy.Register(mux)
+	x.Register(mux)
 
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 
 	go func() { _ = server.Serve(l) }()
 
-	defer server.Close()
+	t.Cleanup(func() { _ = server.Close() })
+
+	return l.Addr().String(), received
+}
+
+// TestSmallMessageGoesOverAStreamWhereAsked sends to a process that takes no datagrams.
+func TestSmallMessageGoesOverAStreamWhereAsked(t *testing.T) {
+	address, received := newReceiver(t)
+	sender := newTransporter(t)
+
+	sender.Send(&wire.Envelope{To: address, Stream: true, Body: &wire.Envelope_Pull{Pull: &wire.Pull{}}})
+	require.Eventually(t, func() bool { return received.Load() == 1 }, 10*time.Second, time.Millisecond)
+}
+
+// TestSilentPeerHoldsUpNoOther floods a process that accepts connections and never answers, then writes to another one.
+func TestSilentPeerHoldsUpNoOther(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	defer silent.Close()
+
+	address, received := newReceiver(t)
 
 	sender := newTransporter(t)
 	for range 200 {
 		sender.Send(large(silent.Addr().String()))
 	}
 
-	sender.Send(large(l.Addr().String()))
+	sender.Send(large(address))
 	require.Eventually(t, func() bool { return received.Load() == 1 }, 10*time.Second, time.Millisecond)
 }
 
