Answer before the caller gives up

Cause: a node ended a call at the caller's deadline, so that its answer arrived after it. The caller had then closed the connection, with all calls that it had pipelined on it; these ran for nobody and came again.

A node keeps 25 ms, or a fortieth of the time left, from the caller's deadline for the way of the answer.

TestCallerHearsOfAFailureBeforeItGivesUp failed before: the server got the whole of the time.

One function now tells whether two addresses are on the same VM.

--- a/calls/acceptor/conn.go
+++ b/calls/acceptor/conn.go
@@ -56,7 +56,7 @@
 		out io.Writer = raw
 	)
 
-	if !sameVM(raw) {
+	if !SameVM(raw.RemoteAddr().String(), raw.LocalAddr().String()) {
 		in = a.options.Meter.Reader(raw)
 		out = a.options.Meter.Writer(a.options.Shaper.Writer(ctx, raw))
 	}
@@ -67,12 +67,12 @@
 	return c
 }
 
-// sameVM reports whether both ends of a connection are on this VM, so that its bytes pass no link.
-func sameVM(c net.Conn) bool {
-	remote, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	local, _, localErr := net.SplitHostPort(c.LocalAddr().String())
+// SameVM reports whether two addresses are on the same VM, so that bytes between them pass no link.
+func SameVM(remote, local string) bool {
+	remoteHost, _, err := net.SplitHostPort(remote)
+	localHost, _, localErr := net.SplitHostPort(local)
 
-	return errors.Join(err, localErr) == nil && (remote == local || net.ParseIP(remote).IsLoopback())
+	return errors.Join(err, localErr) == nil && (remoteHost == localHost || net.ParseIP(remoteHost).IsLoopback())
 }
 
 // abort closes the connection at once.
--- a/calls/forwarder/call.go
+++ b/calls/forwarder/call.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"errors"
 	"net"
 	"net/http"
 
 	"github.com/google/uuid"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
 	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
@@ -100,14 +100,26 @@
 	}
 }
 
-// timeLimit is the shortest of the caller's deadline and the configured time.
+const (
+	// answerMargin is the longest time kept from a caller's deadline for the way of the answer: some round trips to callers in the region.
+	// A caller that hears nothing closes its connection, with all that it has pipelined on it.
+	answerMargin tiller.Millis = 25
+	// answerMarginShare bounds the same as a part of the time left.
+	answerMarginShare = 40
+)
+
+// timeLimit is the shortest of the caller's deadline, less the way of the answer, and the configured time.
 func timeLimit(terms tiller.CallTerms, route tiller.Route, settings compiler.Effective) tiller.Millis {
 	limit := settings.Millis(tiller.SettingCallTimeoutMs)
 	if route.Timeout() > 0 {
 		limit = route.Timeout()
 	}
 
-	return max(0, min(limit, terms.TimeLeft().OrElse(limit)))
+	if left, stated := terms.TimeLeft().Get(); stated {
+		limit = min(limit, left-min(answerMargin, left/answerMarginShare))
+	}
+
+	return max(0, limit)
 }
 
 // aimOf returns by when an answer has its full worth, zero for routes that state no target latency. The time that earlier sends
@@ -128,12 +140,6 @@
 // fromWorker reports whether the caller runs on this node's VM.
 func (f *Forwarder) fromWorker(r *http.Request) bool {
 	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
-	if !ok {
-		return false
-	}
-
-	remoteHost, _, err := net.SplitHostPort(r.RemoteAddr)
-	localHost, _, localErr := net.SplitHostPort(local.String())
 
-	return errors.Join(err, localErr) == nil && (remoteHost == localHost || net.ParseIP(remoteHost).IsLoopback())
+	return ok && acceptor.SameVM(r.RemoteAddr, local.String())
 }
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -461,3 +462,27 @@
 	require.Error(t, err)
 	<-ended
 }
+
+// TestCallerHearsOfAFailureBeforeItGivesUp sends a call to a server that never answers; the node must answer before the caller's deadline.
+func TestCallerHearsOfAFailureBeforeItGivesUp(t *testing.T) {
+	received := make(chan int64, 1)
+	stuck := func(_ http.ResponseWriter, r *http.Request) {
+		left, err := strconv.ParseInt(r.Header.Get(forwarder.HeaderDeadline), 10, 64)
+		if err == nil {
+			received <- left
+		}
+
+		<-r.Context().Done()
+	}
+	nodes := newNodes(t, stuck)
+
+	r, err := http.NewRequest(http.MethodPut, nodes[0].server.URL+"/once/1", nil)
+	require.NoError(t, err)
+	r.Header.Set(forwarder.HeaderDeadline, "1000")
+
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	require.LessOrEqual(t, <-received, int64(975), "the way of the answer is kept from the time that the server gets")
+}
