Tell a late call from a full link

A gate refused a call without any time left as one whose answer waits too long for the link, though nothing waited: the log and the reason named the wrong cause.

--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -295,6 +295,23 @@
 	require.EqualValues(t, 20, nodes[2].backend.runs.Load())
 }
 
+func TestGateTellsALateCallFromAFullLink(t *testing.T) {
+	nodes := newNodes(t, ok)
+
+	r, err := http.NewRequest(http.MethodGet, nodes[0].server.URL+"/calls/1", nil)
+	require.NoError(t, err)
+	r.Header.Set(forwarder.HeaderAttempt, "a1")
+	r.Header.Set(forwarder.HeaderTo, "w0")
+	r.Header.Set(forwarder.HeaderService, "board")
+	r.Header.Set(forwarder.HeaderDeadline, "-5")
+
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.NotEqual(t, tiller.ReasonOverload.String(), resp.Header.Get(forwarder.HeaderReason))
+	require.Zero(t, nodes[0].backend.runs.Load())
+}
+
 func TestServerThatRefusesConnections(t *testing.T) {
 	nodes := newNodes(t, ok, ok)
 	nodes[1].backend.server.Close()
--- a/calls/forwarder/link.go
+++ b/calls/forwarder/link.go
@@ -19,7 +19,7 @@
 // linkFull refuses a request whose answer would wait too long for the VM's link.
 func (f *Forwarder) linkFull(q *request) *tiller.CallError {
 	wait := f.linkWait()
-	if left := q.deadline - f.Clock.Now(); float64(wait) <= linkShare*float64(left) {
+	if wait <= 0 || float64(wait) <= linkShare*float64(q.deadline-f.Clock.Now()) {
 		return nil
 	}
 
