--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -36,9 +35,9 @@
 	// failureHalfLife is how fast failures are forgotten, in milliseconds, so that a worker which recovers is tried again.
 	failureHalfLife = 4000.0
 	paceWeight      = 64
-	// hopWeight is how many requests the mean time of the way to other workers spans.
-	hopWeight   = 32
-	defaultPace = 100
+	// overheadWeight is how many requests the mean overhead of a hop spans.
+	overheadWeight = 32
+	defaultPace    = 100
 	// Choices is how many candidates are compared unless a policy says otherwise.
 	Choices = 2
 	// coldShare is the part of its usual load that a server takes while it says that it is slow.
@@ -73,35 +72,6 @@
 // Backend returns the worker's backend server.
 func (c Candidate) Backend() tiller.Backend { return c.backend }
 
-// Load is what a worker's gate tells of itself.
-type Load struct {
-	waiting int
-	limit   int
-	pace    tiller.Millis
-}
-
-// NewLoad returns a load of requests that run or wait, the number that may run at once, and how long one takes; a pace of zero
-// means that it is not known.
-func NewLoad(requests, limit int, pace tiller.Millis) Load {
-	return Load{waiting: requests, limit: limit, pace: pace}
-}
-
-type observation struct {
-	inFlight int
-	load     Load
-	loadAt   tiller.Millis
-	// sent counts the requests sent since the load was told.
-	sent          int
-	failureRate   float64
-	failureAt     tiller.Millis
-	failures      int
-	ejectedUntil  tiller.Millis
-	unreachableTo tiller.Millis
-	unreachable   tiller.Millis
-	// quietSince is since when requests are in flight and none has ended.
-	quietSince tiller.Millis
-}
-
 // Balancer remembers what this node saw of each worker. It is safe for concurrent use.
 type Balancer struct {
 	mu         sync.Mutex
@@ -110,8 +80,8 @@
 	seen       map[tiller.Worker]*observation
 	// pace is the mean over the workers that tell theirs.
 	pace float64
-	// hop is the moving average of the time that the way to another worker and back takes, in milliseconds.
-	hop float64
+	// overhead is the moving average of what a request at another worker takes beside its gate and its server, in milliseconds.
+	overhead float64
 }
 
 // New returns a balancer for a node of the given data centre.
@@ -290,102 +260,3 @@
 
 	return choice
 }
-
-// Done notes the end of an attempt at a worker and reports whether the worker is ejected by it.
-func (b *Balancer) Done(now tiller.Millis, w tiller.Worker, err *tiller.CallError, p Policy) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	o := b.observe(w)
-	o.inFlight = max(o.inFlight-1, 0)
-	o.quietSince = now
-	o.noteFailure(now, err)
-
-	switch {
-	case err == nil:
-		o.failures = 0
-		o.unreachable = 0
-	case err.Reason() == tiller.ReasonUnreachable:
-		o.unreachable = min(max(2*o.unreachable, unreachableFor), maxUnreachable)
-		o.unreachableTo = now + o.unreachable
-	case err.Reason() == tiller.ReasonBackendFailed || err.Reason() == tiller.ReasonAnswerTruncated:
-		o.failures++
-
-		if o.failures >= p.EjectAfterFailures {
-			o.failures = 0
-			o.ejectedUntil = now + p.EjectFor
-
-			return true
-		}
-	}
-
-	return false
-}
-
-// noteFailure averages how often a worker fails; a gate that asked no server says nothing about it.
-func (o *observation) noteFailure(now tiller.Millis, err *tiller.CallError) {
-	if err != nil && err.Untried() {
-		return
-	}
-
-	sample := 0.0
-	if err != nil && err.Reason() != tiller.ReasonDraining && err.Reason() != tiller.ReasonCancelled {
-		sample = 1
-	}
-
-	o.failureRate = o.failing(now)
-	o.failureRate += (sample - o.failureRate) / failureWeight
-	o.failureAt = now
-}
-
-// failing returns the failure rate now.
-func (o *observation) failing(now tiller.Millis) float64 {
-	return o.failureRate * math.Exp2(-float64(max(now-o.failureAt, 0))/failureHalfLife)
-}
-
-// Report notes the load that a worker's gate told.
-func (b *Balancer) Report(now tiller.Millis, w tiller.Worker, load Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	o := b.observe(w)
-	o.load = load
-	o.loadAt = now
-	o.sent = 0
-
-	if load.pace > 0 {
-		if b.pace == 0 {
-			b.pace = float64(load.pace)
-		}
-
-		b.pace += (float64(load.pace) - b.pace) / paceWeight
-	}
-}
-
-// NoteHop counts the time of a request at another worker without what its gate and its server took.
-func (b *Balancer) NoteHop(took tiller.Millis) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	b.hop += (float64(max(took, 0)) - b.hop) / hopWeight
-}
-
-// HopTime returns how long the way to another worker and back takes.
-func (b *Balancer) HopTime() tiller.Millis {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	return tiller.Millis(b.hop)
-}
-
-// Forget drops what was seen of workers that are no longer known.
-func (b *Balancer) Forget(known tiller.Set[tiller.Worker]) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	for w, o := range b.seen {
-		if !known.Has(w) && o.inFlight == 0 {
-			delete(b.seen, w)
-		}
-	}
-}
--- a/calls/forwarder/call.go
+++ b/calls/forwarder/call.go
@@ -101,14 +101,14 @@
 }
 
 const (
-	// answerMargin is the longest time kept from a caller's deadline for the way of the answer: some round trips to callers in the region.
-	// A caller that hears nothing closes its connection, with all that it has pipelined on it.
+	// answerMargin is the longest time reserved for returning the answer before the caller's deadline: some round trips to callers in the
+	// region. A caller that times out closes its connection, with all requests that it has pipelined on it.
 	answerMargin tiller.Millis = 25
-	// answerMarginShare bounds the same as a part of the time left.
+	// answerMarginShare bounds the margin to a fraction of the time left, so that calls along a chain keep most of theirs.
 	answerMarginShare = 40
 )
 
-// timeLimit is the shortest of the caller's deadline, less the way of the answer, and the configured time.
+// timeLimit is the shorter of the caller's deadline, less the margin for the answer, and the configured timeout.
 func timeLimit(terms tiller.CallTerms, route tiller.Route, settings compiler.Effective) tiller.Millis {
 	limit := settings.Millis(tiller.SettingCallTimeoutMs)
 	if route.Timeout() > 0 {
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -210,7 +210,7 @@
 
 	answer, err = f.checkHop(q, answer, backend.Worker())
 	if err == nil && answer.ran > 0 {
-		f.Balancer.NoteHop(f.Clock.Now() - began - answer.queued - answer.ran)
+		f.Balancer.NoteOverhead(f.Clock.Now() - began - answer.queued - answer.ran)
 	}
 
 	return answer, err
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -501,5 +501,5 @@
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
-	require.LessOrEqual(t, <-received, int64(975), "the way of the answer is kept from the time that the server gets")
+	require.LessOrEqual(t, <-received, int64(975), "the server gets the deadline less the margin for the answer")
 }
--- a/calls/forwarder/search.go
+++ b/calls/forwarder/search.go
@@ -100,8 +100,8 @@
 		}
 	}
 
-	// A short wait here ends sooner than the way to another worker and back.
-	if !met.Has(f.Name) && c.request.service == f.Service && f.Gate.Wait(c.request.demand()) < f.Balancer.HopTime() {
+	// A slot here is free sooner than a request could reach another worker and return.
+	if !met.Has(f.Name) && c.request.service == f.Service && f.Gate.Wait(c.request.demand()) < f.Balancer.HopOverhead() {
 		if backend, ok = f.Balancer.PickComfortable(now, among(candidates, f.Name), policy).Get(); ok {
 			return backend, false, true
 		}
--- a/calls/forwarder/search_test.go
+++ b/calls/forwarder/search_test.go
@@ -93,14 +93,14 @@
 	require.NotEqual(t, "w1", send(t, nodes[1], "GET", "/easy/1", "", "").header.Get(forwarder.HeaderWorker))
 }
 
-// TestCallWaitsAtTheOwnWorkerWhereThatIsShorterThanTheWay fills the own gate with requests that end sooner than a call elsewhere arrives.
-func TestCallWaitsAtTheOwnWorkerWhereThatIsShorterThanTheWay(t *testing.T) {
+// TestCallWaitsAtTheOwnWorkerWhereThatIsFasterThanAHop fills the own gate while hops are slow.
+func TestCallWaitsAtTheOwnWorkerWhereThatIsFasterThanAHop(t *testing.T) {
 	nodes := newNodes(t, ok, ok, ok)
 	send(t, nodes[1], "GET", "/easy/1", "", "")
 
 	release := occupy(t, nodes[1])
 	for range 100 {
-		nodes[1].forward.Balancer.NoteHop(500)
+		nodes[1].forward.Balancer.NoteOverhead(500)
 	}
 
 	answers := make(chan answer, 1)
