--- a/calls/meter/meter.go
+++ b/calls/meter/meter.go
@@ -21,12 +21,6 @@
 	}
 }
 
-// Sent returns the number of bytes sent.
-func (m *Meter) Sent() int64 { return m.sent.Count() }
-
-// Received returns the number of bytes received.
-func (m *Meter) Received() int64 { return m.received.Count() }
-
 // Reader returns a reader whose bytes count as received.
 func (m *Meter) Reader(r io.Reader) io.Reader {
 	if m == nil {
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -13,9 +12,6 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
-// bodies is the choice of what an envelope carries.
-var bodies = (*wire.Envelope)(nil).ProtoReflect().Descriptor().Oneofs().ByName("body")
-
 // Faults are the faults of a network, as shares of all messages.
 type Faults struct {
 	Loss     float64
@@ -40,8 +36,6 @@
 	cut      func(from, to string) bool
 	bytes    map[string]int
 	messages map[string]int
-	// kinds counts the bytes sent by the kind of message.
-	kinds map[string]int
 	// links is nil where messages never wait.
 	links *links
 }
@@ -50,7 +44,6 @@
 func New(seed uint64, faults Faults) *Net {
 	return &Net{
 		faults: faults, random: rand.New(rand.NewPCG(seed, seed)), bytes: map[string]int{}, messages: map[string]int{},
-		kinds: map[string]int{},
 	}
 }
 
@@ -75,7 +68,6 @@
 
 	n.bytes[e.GetFrom()] += len(data)
 	n.messages[e.GetFrom()]++
-	n.kinds[string(e.ProtoReflect().WhichOneof(bodies).Name())] += len(data)
 
 	if (n.cut != nil && n.cut(e.GetFrom(), e.GetTo())) || n.random.Float64() < n.faults.Loss {
 		return
@@ -136,8 +128,5 @@
 // Bytes returns the bytes that an address has sent.
 func (n *Net) Bytes(from string) int { return n.bytes[from] }
 
-// Kinds returns the bytes sent by the kind of message.
-func (n *Net) Kinds() map[string]int { return maps.Clone(n.kinds) }
-
 // Messages returns the messages that an address has sent.
 func (n *Net) Messages(from string) int { return n.messages[from] }
--- a/internal/faultnet/link.go
+++ b/internal/faultnet/link.go
@@ -29,7 +29,6 @@
 	out     map[string]time.Duration
 	in      map[string]time.Duration
 	encoder *zstd.Encoder
-	dropped map[string]int
 }
 
 // SetLink puts each of some processes behind a link of its own; those of the others carry everything at once.
@@ -41,7 +40,7 @@
 
 	n.links = &links{
 		link: link, narrow: tiller.NewSet(addresses...), out: map[string]time.Duration{}, in: map[string]time.Duration{},
-		encoder: encoder, dropped: map[string]int{},
+		encoder: encoder,
 	}
 }
 
@@ -50,9 +49,6 @@
 	n.links.out[address] = max(n.links.out[address], now.Duration()+n.links.time(bytes))
 }
 
-// Dropped returns the datagrams of an address that were dropped for want of room in front of a link.
-func (n *Net) Dropped(from string) int { return n.links.dropped[from] }
-
 // use puts bytes on one way of a process's link and returns when it has carried them.
 func (l *links) use(way map[string]time.Duration, address string, at time.Duration, bytes int) time.Duration {
 	if !l.narrow.Has(address) {
@@ -83,8 +79,6 @@
 	if !datagram {
 		size = len(l.encoder.EncodeAll(data, nil)) + streamOverhead
 	} else if l.full(l.out, from, at) || l.full(l.in, to, at) {
-		l.dropped[from]++
-
 		return 0, false
 	}
 
