--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -347,22 +347,6 @@
 	}
 }
 
-func (s *Server) contactAge() tiller.Millis {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.core.ContactAge()
-}
-
-// reportVitals logs how far the node is behind and what its link carries.
-func (s *Server) reportVitals() {
-	s.mu.Lock()
-	version, behind, contact := s.core.Version(), s.core.Lag(), s.core.ContactAge()
-	s.mu.Unlock()
-
-	s.vitals.report(version, behind, contact, s.link.Wait())
-}
-
 // SetControllers replaces the controllers that the settings name.
 func (s *Server) SetControllers(addresses []tiller.Address) {
 	s.mu.Lock()
