Raise strikes under one lock and tear the logs that journals write

Cause: RaiseStrikes read the strikes and added the missing ones under two locks, so that two reports of the same crash could both add them.

Change: one lock in RaiseStrikes; the fault appends to the log with the highest sequence number and tells a missing log apart from an emptied data folder.

--- a/calls/quarantiner/quarantiner.go
+++ b/calls/quarantiner/quarantiner.go
@@ -70,6 +70,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	return r.add(now, d, route, strikes)
+}
+
+// RaiseStrikes raises the strikes of a request to a total reported by another node; a lower total has no effect.
+func (r *Registry) RaiseStrikes(now tiller.Millis, d Digest, route string, total int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if missing := total - r.records[d].strikes; missing > 0 {
+		r.add(now, d, route, missing)
+	}
+}
+
+// add adds strikes to a request and returns the new total. The lock is held.
+func (r *Registry) add(now tiller.Millis, d Digest, route string, strikes int) int {
 	record, known := r.records[d]
 	if !known {
 		r.order = append(r.order, d)
@@ -86,13 +101,6 @@
 	return record.strikes
 }
 
-// RaiseStrikes raises the strikes of a request to a total reported by another node; a lower total has no effect.
-func (r *Registry) RaiseStrikes(now tiller.Millis, d Digest, route string, total int) {
-	if missing := total - r.Strikes(d); missing > 0 {
-		r.AddStrikes(now, d, route, missing)
-	}
-}
-
 // Strikes returns the number of strikes of a request.
 func (r *Registry) Strikes(d Digest) int {
 	r.mu.Lock()
--- a/calls/quarantiner/quarantiner_test.go
+++ b/calls/quarantiner/quarantiner_test.go
@@ -1,6 +1,7 @@
 package quarantiner_test
 
 import (
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -26,3 +27,28 @@
 	keyed := quarantiner.DigestOf("PUT", "/calls/1", "key", nil)
 	require.Equal(t, keyed, quarantiner.DigestOf("POST", "/calls/2", "key", []byte("body")))
 }
+
+// TestConcurrentReportsOfACrashRaiseTheStrikesOnce reports the same total from several goroutines, as the attempts and answers of a call
+// do when its copies end together.
+func TestConcurrentReportsOfACrashRaiseTheStrikesOnce(t *testing.T) {
+	const (
+		reporters = 4
+		totals    = 20_000
+	)
+
+	r := quarantiner.NewRegistry()
+	d := quarantiner.DigestOf("GET", "/calls/1", "", nil)
+
+	var reports sync.WaitGroup
+
+	for range reporters {
+		reports.Go(func() {
+			for total := range totals {
+				r.RaiseStrikes(0, d, "calls", total+1)
+			}
+		})
+	}
+
+	reports.Wait()
+	require.Equal(t, totals, r.Strikes(d))
+}
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -19,6 +21,9 @@
 	inject func() error
 }
 
+// logPrefix begins the names of a controller's log files; a sequence number follows.
+const logPrefix = "wal-"
+
 func (f fault) String() string { return fmt.Sprintf("%s at %s", f.name, f.at) }
 
 // randomDuration returns a random duration within bounds.
@@ -167,7 +172,13 @@
 	return fault{name: "torn log of " + p.name, inject: func() error {
 		p.kill()
 
-		return errors.Join(appendZeros(f.dataOf(p), torn), p.start())
+		err := appendZeros(f.dataOf(p), torn)
+		if errors.Is(err, errNoLog) {
+			// An overlapping fault has deleted the data folder.
+			err = nil
+		}
+
+		return errors.Join(err, p.start())
 	}}
 }
 
@@ -189,14 +200,14 @@
 	return filepath.Join(f.folder, "data-"+p.name[len(p.name)-1:])
 }
 
-// appendZeros appends n zero bytes to the last log file of a data folder.
+// appendZeros appends n zero bytes to the latest log file of a controller's data folder.
 func appendZeros(folder string, n int) error {
-	files, err := filepath.Glob(filepath.Join(folder, "*.log"))
-	if err != nil || len(files) == 0 {
+	path, err := latestLog(folder)
+	if err != nil {
 		return err
 	}
 
-	log, err := os.OpenFile(files[len(files)-1], os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -206,6 +217,31 @@
 	return errors.Join(err, log.Close())
 }
 
+var errNoLog = errors.New("the data folder holds no log file")
+
+// latestLog returns the log file with the highest sequence number, or errNoLog.
+func latestLog(folder string) (string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return "", err
+	}
+
+	latest, found := uint64(0), false
+
+	for _, e := range entries {
+		sequence, err := strconv.ParseUint(strings.TrimPrefix(e.Name(), logPrefix), 10, 64)
+		if strings.HasPrefix(e.Name(), logPrefix) && err == nil {
+			latest, found = max(latest, sequence), true
+		}
+	}
+
+	if !found {
+		return "", errNoLog
+	}
+
+	return filepath.Join(folder, logPrefix+strconv.FormatUint(latest, 10)), nil
+}
+
 // crashFault sends a request that crashes the backend server which runs it.
 func (f *fleet) crashFault(r *rand.Rand) fault {
 	dc, octet := nodePosition(r.IntN(len(f.nodes)))
