Count one strike a crash and request, not one a copy

Change: the inbound proxy numbers the crashes it sees; a request that was sent before the last known crash broke in it. The nonce of a strike belongs to the crash and the request, so that the node and its peers count copies once. A report holds one request, as all callers had it.

--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -31,8 +31,9 @@
 
 // CrashReporter reports requests that were in flight when a backend server crashed.
 type CrashReporter interface {
-	// ReportCrash passes requests to the data centre and waits for the acknowledgement, for a bounded time.
-	ReportCrash(ctx context.Context, digests []quarantiner.Digest, route string)
+	// ReportCrash reports a request that broke in a crash to the data centre and waits for the acknowledgement, for a bounded time. Copies
+	// of a request that broke in the same crash count once.
+	ReportCrash(ctx context.Context, crash uint64, digest quarantiner.Digest, route string)
 	// ClearStrikes clears the strikes of a request that has now been served.
 	ClearStrikes(d quarantiner.Digest)
 }
@@ -103,6 +104,7 @@
 	log        callLog
 	maxWaits   *maxWaits
 	freeShare  *freeShare
+	crashes    crashCounter
 }
 
 var _ http.Handler = (*Forwarder)(nil)
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -203,6 +204,35 @@
 	require.Equal(t, "may_have_run", send(t, nodes[3], "PUT", "/calls/crash", "", "another body").verdict)
 }
 
+// TestCopiesInFlightInACrashCountOnce guards against the quarantine of a request that another request's crash broke twice at once.
+func TestCopiesInFlightInACrashCountOnce(t *testing.T) {
+	const copies = 2
+
+	arrived, crashed := make(chan struct{}, copies), make(chan struct{})
+	nodes := newNodes(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+
+		<-crashed
+		crash(w, r)
+	})
+
+	var senders sync.WaitGroup
+	for range copies {
+		senders.Go(func() { send(t, nodes[0], "PUT", "/calls/7", "", "the same body") })
+	}
+
+	for range copies {
+		<-arrived
+	}
+
+	close(crashed)
+	senders.Wait()
+	require.Equal(t, 1, nodes[0].crashRecords.Strikes(quarantiner.DigestOf("PUT", "/calls/7", "", []byte("the same body"))))
+
+	send(t, nodes[0], "PUT", "/calls/7", "", "the same body")
+	require.Equal(t, copies+1, runs(nodes), "one crash does not quarantine a request")
+}
+
 // TestKeyIsKnownThroughNodesOfOtherServices guards against a second run of a keyed request that is resent through a VM whose worker belongs
 // to another service.
 func TestKeyIsKnownThroughNodesOfOtherServices(t *testing.T) {
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,7 +46,7 @@
 	crashRecords *quarantiner.Registry
 	claims       *fakeClaims
 	mu           sync.Mutex
-	crashReports []quarantiner.Digest
+	crashReports []crashReport
 	refused      atomic.Int64
 	kinds        []tiller.EventKind
 }
@@ -57,15 +58,22 @@
 func (n *fakeNode) ReportRefused() { n.refused.Add(1) }
 
 // ReportCrash adds the strikes to the crash records that all nodes share, as if the report reached every node of the data centre at once.
-func (n *fakeNode) ReportCrash(_ context.Context, digests []quarantiner.Digest, route string) {
+func (n *fakeNode) ReportCrash(_ context.Context, crash uint64, digest quarantiner.Digest, route string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	for _, d := range digests {
-		n.crashRecords.AddStrikes(n.forward.Clock.Now(), d, route, 1)
+	report := crashReport{crash: crash, digest: digest}
+	if !slices.Contains(n.crashReports, report) {
+		n.crashRecords.AddStrikes(n.forward.Clock.Now(), digest, route, 1)
 	}
 
-	n.crashReports = append(n.crashReports, digests...)
+	n.crashReports = append(n.crashReports, report)
+}
+
+// crashReport is one call of ReportCrash.
+type crashReport struct {
+	crash  uint64
+	digest quarantiner.Digest
 }
 
 func (n *fakeNode) ClearStrikes(d quarantiner.Digest) { n.crashRecords.Clear(d) }
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -306,6 +306,7 @@
 	header := q.header.Clone()
 	f.Dialect.SetBackendTerms(header, terms)
 
+	sentAt := f.Clock.Now()
 	done := measure(f.stages.worker)
 	x, failed := f.BackendExchanger.Do(ctx, exchanger.Request{
 		To: target.address, Method: q.method, Target: q.target, Host: q.host, Header: header,
@@ -316,7 +317,7 @@
 	done()
 
 	if failed != nil {
-		return nil, f.backendFailure(ctx, q, target, failed)
+		return nil, f.backendFailure(ctx, q, target, failed, sentAt)
 	}
 
 	answer, err := readAnswer(x, limit)
@@ -356,7 +357,9 @@
 
 // backendFailure converts a failed exchange with the backend server into a call error. If the server crashed, the crash is reported to
 // the data centre before the caller gets the error.
-func (f *Forwarder) backendFailure(ctx context.Context, q *request, target Target, failed *exchanger.ExchangeError) *tiller.CallError {
+func (f *Forwarder) backendFailure(
+	ctx context.Context, q *request, target Target, failed *exchanger.ExchangeError, sentAt tiller.Millis,
+) *tiller.CallError {
 	if failed.Refused() {
 		f.BackendServer.ReportRefused()
 
@@ -365,7 +368,7 @@
 
 	err := callFailure(ctx, failed)
 	if failed.Broken() && ctx.Err() == nil && f.backendCrashed(ctx, target) {
-		f.CrashReporter.ReportCrash(context.WithoutCancel(ctx), []quarantiner.Digest{q.digest}, q.route)
+		f.CrashReporter.ReportCrash(context.WithoutCancel(ctx), f.crashes.crashOf(sentAt, f.Clock.Now()), q.digest, q.route)
 	}
 
 	return err.WithStrikes(f.CrashRecords.Strikes(q.digest))
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -74,11 +74,13 @@
 	Answer  *wire.Answer
 }
 
-// CrashReport reports the requests that were in flight when the backend server crashed.
+// CrashReport reports a request that was in flight when the backend server crashed.
 type CrashReport struct {
-	Token   uint64
-	Digests []quarantiner.Digest
-	Route   string
+	Token uint64
+	// Crash numbers the crashes that this process has observed; copies of a request in the same crash count once.
+	Crash  uint64
+	Digest quarantiner.Digest
+	Route  string
 }
 
 // ClearStrikes clears the crash record of a request on all nodes, which ends its quarantine.
--- a/process/node/strike.go
+++ b/process/node/strike.go
@@ -28,6 +28,9 @@
 	pending []*pendingStrike
 	seen    map[strikeID]struct{}
 	order   []strikeID
+	// nonces are the nonces of the latest crash, by the requests that were in flight.
+	nonces map[quarantiner.Digest]uint64
+	crash  uint64
 }
 
 // strikeID identifies a strike, so that repeated deliveries of it count once.
@@ -40,7 +43,7 @@
 const maxSeenStrikes = 4096
 
 func newStrikeTracker(random *rand.Rand) *strikeTracker {
-	return &strikeTracker{random: random, seen: map[strikeID]struct{}{}}
+	return &strikeTracker{random: random, seen: map[strikeID]struct{}{}, nonces: map[quarantiner.Digest]uint64{}}
 }
 
 // firstSeen reports whether a strike is received for the first time, and remembers it.
@@ -60,9 +63,23 @@
 	return true
 }
 
-func (t *strikeTracker) add(now tiller.Millis, token uint64, peers int) *pendingStrike {
+// nonceOf returns the nonce of a request's strike in a crash, the same for all copies of the request.
+func (t *strikeTracker) nonceOf(crash uint64, d quarantiner.Digest) uint64 {
+	if crash != t.crash {
+		t.crash = crash
+		clear(t.nonces)
+	}
+
+	if t.nonces[d] == 0 {
+		t.nonces[d] = t.random.Uint64() | 1
+	}
+
+	return t.nonces[d]
+}
+
+func (t *strikeTracker) add(now tiller.Millis, token, nonce uint64, peers int) *pendingStrike {
 	n := &pendingStrike{
-		token: token, nonce: t.random.Uint64() | 1, acked: tiller.NewSet[string](), remaining: peers, deadline: now + strikeAckTimeout,
+		token: token, nonce: nonce, acked: tiller.NewSet[string](), remaining: peers, deadline: now + strikeAckTimeout,
 	}
 	t.pending = append(t.pending, n)
 
@@ -102,21 +119,22 @@
 	return tokens
 }
 
-// strike adds a strike to each request that was in flight when the backend server crashed, and reports it to the other nodes. The answer to the
-// call is delayed until all recipients have acknowledged the report or the wait has timed out.
+// strike adds a strike to a request that was in flight when the backend server crashed, unless a copy of it already got one in this crash,
+// and reports it to the other nodes. The answer to the call is delayed until all recipients have acknowledged the report or the wait has
+// timed out.
 func (c *Core) strike(e CrashReport) {
 	peers, remote := c.peerAddresses(), c.remoteRelays()
-	n := c.strikes.add(c.now, e.Token, len(peers)+len(remote))
+	nonce := c.strikes.nonceOf(e.Crash, e.Digest)
+	n := c.strikes.add(c.now, e.Token, nonce, len(peers)+len(remote))
 
-	for _, d := range e.Digests {
-		total := c.crashRecords.AddStrikes(c.now, d, e.Route, 1)
+	if c.strikes.firstSeen(strikeID{nonce: nonce, digest: e.Digest}) {
+		total := c.crashRecords.AddStrikes(c.now, e.Digest, e.Route, 1)
 		c.out.Events = append(c.out.Events, tiller.NewEvent(tiller.EventCrashed,
-			fmt.Sprintf("request in flight when the backend server crashed, strike %d", total), tiller.WithKey(d.String())))
-
-		s := &wire.Strike{Digest: []byte(d), Route: e.Route, Count: 1, Nonce: n.nonce, Worker: c.config.Name}
-		c.broadcastStrike(s, peers, remote)
+			fmt.Sprintf("request in flight when the backend server crashed, strike %d", total), tiller.WithKey(e.Digest.String())))
 	}
 
+	c.broadcastStrike(&wire.Strike{Digest: []byte(e.Digest), Route: e.Route, Count: 1, Nonce: nonce, Worker: c.config.Name}, peers, remote)
+
 	if n.remaining == 0 {
 		c.out.FinishedCrashReports = append(c.out.FinishedCrashReports, c.strikes.finish(func(o *pendingStrike) bool { return o == n })...)
 	}
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -85,16 +85,16 @@
 
 var _ forwarder.CrashReporter = (*crashReporterAdapter)(nil)
 
-// ReportCrash informs the peers of requests that were in flight in a crash. It waits until they have acknowledged the report, until the bounded
+// ReportCrash informs the peers of a request that was in flight in a crash. It waits until they have acknowledged the report, until the bounded
 // wait for their acknowledgements is over, or until the context ends.
-func (a *crashReporterAdapter) ReportCrash(ctx context.Context, digests []quarantiner.Digest, route string) {
+func (a *crashReporterAdapter) ReportCrash(ctx context.Context, crash uint64, digest quarantiner.Digest, route string) {
 	s := (*Server)(a)
 	token := s.lastToken.Add(1)
 	acknowledged := s.crashReports.add(token)
 
 	defer s.crashReports.remove(token)
 
-	s.step(node.CrashReport{Token: token, Digests: digests, Route: route})
+	s.step(node.CrashReport{Token: token, Crash: crash, Digest: digest, Route: route})
 
 	select {
 	case <-acknowledged:
