Survive a claim state without a claim group

Cause: Member.onState read the member's group before it had one, so that a claim state of any sender, one datagram, ended the process of a node that serves no claims. Found by feeding the cores of a running fleet messages that decode and hold random content.

Change: a member without a group ignores claim states.

--- a/calls/claimer/catchup.go
+++ b/calls/claimer/catchup.go
@@ -111,7 +111,7 @@
 }
 
 func (m *Member) onState(s *wire.ClaimState) {
-	if s.GetEpoch() != m.epoch() || m.group.serving {
+	if m.group == nil || m.group.serving || s.GetEpoch() != m.epoch() {
 		return
 	}
 
