Keep panics, shutdowns and anonymous answers from reaching other requests

Panic: a panic in the handler of one request was raised again and ended the process. It now closes the request's connection and is logged with its stack.

Shutdown: closing the listener reset connections that callers had opened, with their requests sent, but the node had not accepted; one accepted in that moment was closed without an answer. The listener now accepts for another 50 ms, Shutdown waits for that, and what was accepted is served.

Late copy: a backend server may refuse without naming the request. A second copy of such a refusal, late on a reused connection, matched the next request, which ran. A connection on which an answer did not name its request is no longer reused.

--- a/calls/acceptor/acceptor.go
+++ b/calls/acceptor/acceptor.go
@@ -7,9 +7,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -30,6 +32,8 @@
 	// acceptBackoff is the delay after a failed accept, such as one that found no free file descriptor.
 	acceptBackoff = 20 * time.Millisecond
 	shutdownPoll  = 10 * time.Millisecond
+	// lastAccepts is how long a listener accepts the connections that were opened before a shutdown.
+	lastAccepts = 50 * time.Millisecond
 )
 
 // Limits bound the size and duration of what a caller sends.
@@ -63,12 +67,19 @@
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
-	draining  bool
-	closed    bool
+	// serving counts the calls of Serve that have not returned.
+	serving sync.WaitGroup
+	// draining is set once connections are to be closed after their requests, stopping once no further ones are accepted, and closed once
+	// all are closed immediately.
+	draining bool
+	stopping bool
+	closed   bool
 }
 
-// Options holds the meter and the shaper of connections from other VMs.
+// Options holds the meter and the shaper of connections from other VMs, and the log.
 type Options struct {
+	// Log receives a line for each request whose handler panicked.
+	Log logr.Logger
 	// Meter counts the bytes that pass the VM's link; it may be nil.
 	Meter *meter.Meter
 	// Shaper paces writes to the VM's link; it may be nil.
@@ -82,29 +93,41 @@
 
 // Serve accepts connections until the acceptor is shut down or closed; it then returns ErrClosed. Failed accepts are retried.
 func (a *Acceptor) Serve(l net.Listener) error {
-	a.mu.Lock()
-	a.listeners[l] = struct{}{}
-	closed := a.closed
-	a.mu.Unlock()
-
-	if closed {
+	if !a.register(l) {
 		return errors.Join(ErrClosed, l.Close())
 	}
 
+	defer a.serving.Done()
+
 	for {
 		c, err := l.Accept()
-		if err == nil {
-			a.serveConn(c)
-
-			continue
-		}
 
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			a.serveConn(c)
+		case errors.Is(err, net.ErrClosed):
 			return ErrClosed
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return errors.Join(ErrClosed, l.Close())
+		default:
+			time.Sleep(acceptBackoff)
 		}
+	}
+}
+
+// register adds a listener and reports whether connections may still be accepted.
+func (a *Acceptor) register(l net.Listener) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 
-		time.Sleep(acceptBackoff)
+	if a.stopping {
+		return false
 	}
+
+	a.listeners[l] = struct{}{}
+	a.serving.Add(1)
+
+	return true
 }
 
 func (a *Acceptor) serveConn(raw net.Conn) {
@@ -154,11 +177,13 @@
 	return a.draining
 }
 
-// Shutdown stops accepting connections, closes idle ones and waits until every request that was read has been answered. If the context
-// ends first, it closes the remaining connections and returns the context's error.
+// Shutdown stops accepting connections, closes idle ones and waits until every request that was read has been answered. Connections that
+// callers have already opened are accepted first, since their requests would be cut off with the listener. If the context ends first, it
+// closes the remaining connections and returns the context's error.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	a.Drain()
-	a.closeListeners()
+	a.stopListeners(time.Now().Add(lastAccepts))
+	a.serving.Wait()
 
 	for !a.closeIdle() {
 		select {
@@ -171,15 +196,18 @@
 	return nil
 }
 
-func (a *Acceptor) closeListeners() {
+// stopListeners lets the listeners accept connections until the given time, and closes immediately those that have no deadline.
+func (a *Acceptor) stopListeners(at time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	a.closed = true
+	a.stopping = true
 
 	for l := range a.listeners {
-		// The listener may already be closed.
-		_ = l.Close()
+		if d, ok := l.(interface{ SetDeadline(t time.Time) error }); !ok || d.SetDeadline(at) != nil {
+			// The listener may already be closed.
+			_ = l.Close()
+		}
 	}
 }
 
@@ -199,11 +227,16 @@
 
 // Close closes all listeners and connections immediately. It always returns nil.
 func (a *Acceptor) Close() error {
-	a.closeListeners()
-
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	a.stopping, a.closed = true, true
+
+	for l := range a.listeners {
+		// The listener may already be closed.
+		_ = l.Close()
+	}
+
 	for c := range a.conns {
 		c.abort()
 	}
--- a/calls/acceptor/exchange.go
+++ b/calls/acceptor/exchange.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // exchange is one request and its response. It is the handler's http.ResponseWriter.
@@ -86,7 +89,8 @@
 	e.complete()
 }
 
-// recover closes the connection after a panic of the handler, and panics again unless the handler aborted with http.ErrAbortHandler.
+// recover closes the connection after a panic of the handler, so that a fault in one request does not end the others. Handlers panic with
+// http.ErrAbortHandler on purpose; any other panic is logged.
 func (e *exchange) recover() {
 	p := recover()
 	if p == nil {
@@ -96,7 +100,8 @@
 	e.conn.abort()
 
 	if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		panic(p)
+		e.conn.acceptor.options.Log.Error(eris.Errorf("panic: %v", p), "request handler panicked",
+			"method", e.head.method, "stack", string(debug.Stack()))
 	}
 }
 
@@ -234,6 +239,17 @@
 	}
 }
 
+// FlushError sends the headers and what has been written of the body, and waits until the connection has taken them.
+func (e *exchange) FlushError() error {
+	e.WriteHeader(http.StatusOK)
+
+	if err := e.flush(); err != nil {
+		return err
+	}
+
+	return e.conn.writer.Flush()
+}
+
 // complete sends the rest of the response. It closes the connection if the handler wrote less than the Content-Length.
 func (e *exchange) complete() {
 	e.WriteHeader(http.StatusOK)
--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -36,6 +36,9 @@
 	Length int64
 	// Matches reports whether a response with the given headers belongs to this request; nil accepts every response.
 	Matches func(h http.Header) bool
+	// Identifies reports whether a matching response names this request; nil accepts every response. The connection of one that does not is
+	// closed, since a late second copy of it would match a later request.
+	Identifies func(h http.Header) bool
 }
 
 // Response is the head of a response with its unread body, which the caller must close.
@@ -116,7 +119,8 @@
 	}
 
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	response.Body = &responseBody{Reader: resp.Body, exchange: e, reusable: !resp.Close && resp.ContentLength >= -1}
+	identified := e.request.Identifies == nil || e.request.Identifies(resp.Header)
+	response.Body = &responseBody{Reader: resp.Body, exchange: e, reusable: identified && !resp.Close && resp.ContentLength >= -1}
 
 	if timeout, ok := keepAliveTimeout(resp.Header); ok {
 		e.conn.idleTimeout = max(timeout-idleMargin, 0)
--- a/calls/exchanger/exchanger_test.go
+++ b/calls/exchanger/exchanger_test.go
@@ -155,6 +155,39 @@
 	}
 }
 
+// TestLateCopyOfAnAnonymousResponseIsNotPassedOn sends a refusal that does not name its request, and a second copy of it when the next request
+// arrives on the same connection. The copy must not be taken for the answer to that request, which runs.
+func TestLateCopyOfAnAnonymousResponseIsNotPassedOn(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 7\r\n\r\nnot run"
+
+	var requests atomic.Int64
+
+	s := newServer(t, func(c net.Conn, r *bufio.Reader) {
+		for copies := 0; ; copies++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+
+			if requests.Add(1) == 1 || copies > 0 {
+				_, _ = io.WriteString(c, refusal)
+			} else {
+				_, _ = io.WriteString(c, matchedResponse)
+			}
+		}
+	})
+	x := newExchanger(t)
+
+	for _, want := range []string{"not run", "mine"} {
+		r := request(s, nil)
+		r.Matches = func(h http.Header) bool { return h.Get(headerID) == "mine" || h.Get(headerID) == "" }
+		r.Identifies = func(h http.Header) bool { return h.Get(headerID) == "mine" }
+
+		body, err := roundTrip(t, x, r)
+		require.NoError(t, err)
+		require.Equal(t, want, body)
+	}
+}
+
 func TestIncompleteResponseIsAnError(t *testing.T) {
 	cases := []struct {
 		name     string
--- a/calls/forwarder/dialect.go
+++ b/calls/forwarder/dialect.go
@@ -41,6 +41,9 @@
 // Matches accepts every answer, since backend servers do not identify the request that they answer.
 func (Dialect) Matches(http.Header, tiller.BackendTerms) bool { return true }
 
+// Identifies accepts every answer for the same reason.
+func (Dialect) Identifies(http.Header, tiller.BackendTerms) bool { return true }
+
 // Classify returns AnswerNotRun for an answer with status 503 and the verdict not_run, and AnswerServed for all others.
 func (Dialect) Classify(status int, h http.Header) tiller.AnswerKind {
 	if status == http.StatusServiceUnavailable && parseVerdict(h.Get(HeaderVerdict)) == tiller.VerdictNotRun {
--- a/dialect.go
+++ b/dialect.go
@@ -175,6 +175,9 @@
 	SetBackendTerms(h http.Header, terms BackendTerms)
 	// Matches reports whether an answer belongs to the request with the given terms.
 	Matches(h http.Header, terms BackendTerms) bool
+	// Identifies reports whether an answer that matches names the request. A second copy of an answer that does not could be taken for the
+	// answer to a later request.
+	Identifies(h http.Header, terms BackendTerms) bool
 	// Classify returns the kind of a backend server's answer.
 	Classify(status int, h http.Header) AnswerKind
 	// SetServedBy sets the headers that describe to a caller how its call was served.
