Contain a panic of a core to one input

Cause: net/http recovers a panic in a message that came over a stream. The node's lock stayed held, so that the node hung; the controller went on with a core that held entries which its disk did not. A panic in a datagram ended the process.

Change: a node drops the input and logs it with the stack. A controller treats the panic as it treats a failed write: it leaves service and restores its core from its disk.

--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -164,7 +165,7 @@
 
 	switch {
 	case s.failure != nil:
-		return "the disk failed: " + s.failure.Error()
+		return "out of service: " + s.failure.Error()
 	case s.core.Cluster() == "":
 		return "not yet taken in by the other controllers"
 	case s.core.Leader() == "":
@@ -183,8 +184,8 @@
 		return
 	}
 
-	effects := s.core.Step(s.clock.Now(), input)
-	if err := s.persist(effects); err != nil {
+	effects, err := s.advance(input)
+	if err != nil {
 		s.fail(err)
 
 		return
@@ -210,6 +211,20 @@
 	}
 }
 
+// advance advances the core and makes the records of the step durable. After an error, which a panic of the core is too, the core may differ
+// from the disk and must be restored from it.
+func (s *Server) advance(input controller.Input) (effects controller.Effects, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = eris.Errorf("panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+
+	effects = s.core.Step(s.clock.Now(), input)
+
+	return effects, s.persist(effects)
+}
+
 func (s *Server) persist(e controller.Effects) error {
 	if e.Record != nil {
 		start := time.Now()
@@ -261,7 +276,7 @@
 func (s *Server) fail(err error) {
 	s.failure = err
 	s.diskRetryAt = s.clock.Now() + diskRetryPeriod
-	s.options.Log.Error(err, "disk failed; this controller stops participating")
+	s.options.Log.Error(err, "disk or core failed; this controller stops participating until it is restored from its disk")
 	s.ring.Record(tiller.NewEvent(tiller.EventDiskFailed, err.Error()))
 
 	for token := range s.pendingReads {
--- a/process/controlserver/controlserver_test.go
+++ b/process/controlserver/controlserver_test.go
@@ -157,6 +157,51 @@
 	require.True(t, apply(t, c, 3).GetOutcome().GetAccepted(), "the disk has room again")
 }
 
+// panickingJournal panics once, at the next entry after it is told to.
+type panickingJournal struct {
+	tiller.Journal
+	panics *atomic.Bool
+}
+
+func (j panickingJournal) Append(r *wire.Record) error {
+	if len(r.GetEntries()) > 0 && j.panics.CompareAndSwap(true, false) {
+		panic("a fault in the middle of a step")
+	}
+
+	return j.Journal.Append(r)
+}
+
+// TestPanicInAStepRestoresTheCoreFromItsDisk guards against a controller that ends, hangs, or goes on with entries that were never written.
+func TestPanicInAStepRestoresTheCoreFromItsDisk(t *testing.T) {
+	s := settings(t)
+	require.NoError(t, controlserver.Bootstrap(s))
+
+	var panics atomic.Bool
+
+	c, stop := start(t, s, func(j tiller.Journal) tiller.Journal { return panickingJournal{Journal: j, panics: &panics} })
+
+	defer stop()
+
+	waitForLeader(t, c)
+	require.True(t, apply(t, c, 1).GetOutcome().GetAccepted())
+
+	panics.Store(true)
+
+	// The client sends the edit again if the controller is back in time.
+	accepted := 1
+	if apply(t, c, 2).GetOutcome().GetAccepted() {
+		accepted++
+	}
+
+	waitForLeader(t, c)
+
+	shown, err := c.Show(context.Background())
+	require.NoError(t, err)
+	require.False(t, panics.Load())
+	require.Len(t, shown.GetHistory(), accepted, "what was not written is not in force")
+	require.True(t, apply(t, c, 3).GetOutcome().GetAccepted())
+}
+
 func TestErrorOfCorruptLogNamesFileAndOffset(t *testing.T) {
 	s := settings(t)
 	require.NoError(t, controlserver.Bootstrap(s))
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -2,15 +2,18 @@
 package nodeserver
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
@@ -195,10 +198,12 @@
 	s.control = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 
 	if s.settings.CallerAddress == "" {
-		s.calls = acceptor.New(s.forwarder, s.callerLimits, acceptor.Options{Meter: s.vitals.callers, Shaper: s.link})
+		s.calls = acceptor.New(s.forwarder, s.callerLimits, acceptor.Options{Log: s.options.Log, Meter: s.vitals.callers, Shaper: s.link})
 	} else {
-		s.calls = acceptor.New(s.forwarder.HopHandler(), acceptor.DefaultLimits, acceptor.Options{Meter: s.vitals.hops, Shaper: s.link})
-		s.callers = acceptor.New(s.forwarder.CallerHandler(), s.callerLimits, acceptor.Options{Meter: s.vitals.callers, Shaper: s.link})
+		s.calls = acceptor.New(s.forwarder.HopHandler(), acceptor.DefaultLimits,
+			acceptor.Options{Log: s.options.Log, Meter: s.vitals.hops, Shaper: s.link})
+		s.callers = acceptor.New(s.forwarder.CallerHandler(), s.callerLimits,
+			acceptor.Options{Log: s.options.Log, Meter: s.vitals.callers, Shaper: s.link})
 	}
 
 	monitorMux := http.NewServeMux()
@@ -234,13 +239,12 @@
 
 // step advances the core by one input and carries out the resulting effects.
 func (s *Server) step(input node.Input) {
-	s.mu.Lock()
-	effects := s.core.Step(s.clock.Now(), input)
+	effects, err := s.advance(input)
+	if err != nil {
+		s.options.Log.Error(err, "an input was dropped because the node's core panicked", "input", fmt.Sprintf("%T", input))
 
-	if effects.TableChanged {
-		s.rebuild()
+		return
 	}
-	s.mu.Unlock()
 
 	s.vitals.record(effects)
 	s.ring.Record(effects.Events...)
@@ -255,6 +259,26 @@
 	}
 }
 
+// advance advances the core and renews the routing table. A panic is returned as an error with its stack, so that one malformed message does
+// not end the process or leave the lock held; what the core knows of the fleet is renewed by later messages.
+func (s *Server) advance(input node.Input) (effects node.Effects, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	defer func() {
+		if p := recover(); p != nil {
+			err = eris.Errorf("panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+
+	effects = s.core.Step(s.clock.Now(), input)
+	if effects.TableChanged {
+		s.rebuild()
+	}
+
+	return effects, nil
+}
+
 // rebuild replaces the routing table with one for the current version and membership.
 func (s *Server) rebuild() {
 	version := s.core.Version()
