Send messages one after another and requests ahead of answers on the link

Cause: each packet of a message was queued with a rank of its own, so that the answers in the queue took turns packet by packet and all ended with the last one. A request of 450 bytes passed answers that were at most 50 ms older, so that calls of a running request, for which a slot is held, waited behind a queue of answers.

Change: the packets of a message keep its rank; 10 instead of 100 bytes count as a millisecond, up to half a second.

Result: TestPartsOfAMessageStayTogether (mean end of ten answers below two thirds of the time for all) and TestRequestsPassAQueueOfAnswers.

--- a/calls/shaper/scheduler.go
+++ b/calls/shaper/scheduler.go
@@ -12,18 +12,31 @@
 const (
 	// burstBytes is the backlog allowed at the link itself: two packets, so that the link is not idle between two timers.
 	burstBytes = 3000
-	// rankBytesPerMs converts the size of a write to its rank: each 100 bytes count as a submission 1 ms later, so that small writes pass
-	// large ones that were submitted shortly before.
-	rankBytesPerMs = 100
+	// rankBytesPerMs converts the size of a message to its rank: each 10 bytes count as a submission 1 ms later, so that small messages pass
+	// large ones. A request to another node, for which a slot may be held here, does not wait for a queue of answers.
+	rankBytesPerMs = 10
+	// maxRankDelay bounds how far a large message is moved back.
+	maxRankDelay tiller.Millis = 500
 	// minReleaseDelay keeps a timer from firing before the link has sent anything.
 	minReleaseDelay tiller.Millis = 1
 )
 
+// Rank is the place of a message in the queue; the lowest is granted first. All parts of a message have its rank.
+type Rank struct {
+	// at is the time of submission plus a delay proportional to the size.
+	at tiller.Millis
+	// sequence orders messages of the same time.
+	sequence uint64
+}
+
+func (r Rank) compare(o Rank) int {
+	return cmp.Or(cmp.Compare(r.at, o.at), cmp.Compare(r.sequence, o.sequence))
+}
+
 // Write is a request to write a number of bytes to the link.
 type Write struct {
-	bytes int
-	// rank is the time of submission plus a delay proportional to the size; the lowest rank is granted first.
-	rank    tiller.Millis
+	bytes   int
+	rank    Rank
 	granted bool
 }
 
@@ -42,6 +55,8 @@
 	queue []*Write
 	// queuedBytes is the sum of the bytes in queue.
 	queuedBytes int
+	// lastSequence is the sequence of the last rank.
+	lastSequence uint64
 }
 
 // NewScheduler returns a scheduler for a link with a rate in bytes per second.
@@ -49,18 +64,31 @@
 	return &Scheduler{rate: float64(bytesPerSecond) / float64(tiller.Second)}
 }
 
-// Submit requests to write a number of bytes. The write is granted immediately or by a later Release.
+// Rank returns the rank of a message of the given size that is submitted now.
+func (s *Scheduler) Rank(now tiller.Millis, bytes int) Rank {
+	s.lastSequence++
+
+	return Rank{at: now + min(tiller.Millis(bytes/rankBytesPerMs), maxRankDelay), sequence: s.lastSequence}
+}
+
+// Submit requests to write a message. The write is granted immediately or by a later Release.
 func (s *Scheduler) Submit(now tiller.Millis, bytes int) *Write {
+	return s.SubmitPart(now, bytes, s.Rank(now, bytes))
+}
+
+// SubmitPart requests to write a part of a message of the given rank. A message whose parts keep its rank is sent before those that were
+// submitted after it, while parts with ranks of their own would alternate with theirs and delay them all.
+func (s *Scheduler) SubmitPart(now tiller.Millis, bytes int, rank Rank) *Write {
 	s.advance(now)
 
-	w := &Write{bytes: bytes, rank: now + tiller.Millis(bytes/rankBytesPerMs)}
+	w := &Write{bytes: bytes, rank: rank}
 	if len(s.queue) == 0 && s.backlog < burstBytes {
 		s.grant(w)
 
 		return w
 	}
 
-	i, _ := slices.BinarySearchFunc(s.queue, w, func(queued, w *Write) int { return cmp.Or(cmp.Compare(queued.rank, w.rank), -1) })
+	i, _ := slices.BinarySearchFunc(s.queue, w, func(queued, w *Write) int { return cmp.Or(queued.rank.compare(w.rank), -1) })
 	s.queue = slices.Insert(s.queue, i, w)
 	s.queuedBytes += bytes
 
--- a/calls/shaper/shaper.go
+++ b/calls/shaper/shaper.go
@@ -66,10 +66,18 @@
 	return s.scheduler.QueueDelay(s.clock.Now())
 }
 
-// acquire waits until a number of bytes may be written, or returns the context's error.
-func (s *Shaper) acquire(ctx context.Context, bytes int) error {
+// rank returns the rank of a message of the given size that is written from now on.
+func (s *Shaper) rank(bytes int) Rank {
 	s.mu.Lock()
-	w := s.scheduler.Submit(s.clock.Now(), bytes)
+	defer s.mu.Unlock()
+
+	return s.scheduler.Rank(s.clock.Now(), bytes)
+}
+
+// acquire waits until a part of a message of the given rank may be written, or returns the context's error.
+func (s *Shaper) acquire(ctx context.Context, bytes int, rank Rank) error {
+	s.mu.Lock()
+	w := s.scheduler.SubmitPart(s.clock.Now(), bytes, rank)
 
 	if w.Granted() {
 		s.mu.Unlock()
@@ -140,10 +148,11 @@
 // Write writes p in chunks, each as soon as the link can accept it.
 func (w *writer) Write(p []byte) (int, error) {
 	written := 0
+	rank := w.shaper.rank(len(p))
 
 	for written < len(p) {
 		chunk := p[written:min(written+chunkBytes, len(p))]
-		if err := w.shaper.acquire(w.ctx, len(chunk)); err != nil {
+		if err := w.shaper.acquire(w.ctx, len(chunk), rank); err != nil {
 			return written, err
 		}
 
--- a/calls/shaper/shaper_test.go
+++ b/calls/shaper/shaper_test.go
@@ -96,6 +96,77 @@
 	require.True(t, large.Granted(), "small writes that saturate the link do not starve a large one")
 }
 
+// TestPartsOfAMessageStayTogether sends several answers at the same time, each in packets of which the next is submitted once the one before
+// is granted. If their packets alternated, all answers would end when the last one does.
+func TestPartsOfAMessageStayTogether(t *testing.T) {
+	const (
+		messages = 10
+		parts    = 4
+		packet   = 1400
+		answer   = parts * packet
+	)
+
+	l := newLink()
+	ranks := make([]shaper.Rank, messages)
+	current := make([]*shaper.Write, messages)
+	sent := make([]int, messages)
+	endedAt := make([]tiller.Millis, messages)
+
+	for i := range messages {
+		ranks[i] = l.scheduler.Rank(l.now, answer)
+		current[i] = l.scheduler.SubmitPart(l.now, packet, ranks[i])
+		l.setNext()
+	}
+
+	for left := messages; left > 0; l.run(1) {
+		for i := range messages {
+			if sent[i] == parts || !current[i].Granted() {
+				continue
+			}
+
+			if sent[i]++; sent[i] == parts {
+				endedAt[i] = l.now
+				left--
+
+				continue
+			}
+
+			current[i] = l.scheduler.SubmitPart(l.now, packet, ranks[i])
+			l.setNext()
+		}
+	}
+
+	all := tiller.Millis(messages * answer * 1000 / rate)
+
+	var mean tiller.Millis
+	for _, at := range endedAt {
+		mean += at / messages
+	}
+
+	require.Less(t, mean, all*2/3, "one answer after the other ends after %d ms in the mean, all together after %d ms", all/2, all)
+}
+
+// TestRequestsPassAQueueOfAnswers guards against requests that hold a slot here while they wait behind answers for the link.
+func TestRequestsPassAQueueOfAnswers(t *testing.T) {
+	const (
+		answerBytes  = 5400
+		requestBytes = 450
+		answers      = 14
+	)
+
+	l := newLink()
+	for range answers {
+		l.submit(answerBytes)
+		l.run(10)
+	}
+
+	require.Greater(t, l.scheduler.QueueDelay(l.now), tiller.Millis(150))
+
+	request := l.submit(requestBytes)
+	l.run(50)
+	require.True(t, request.Granted())
+}
+
 func TestDirectlyWrittenBytesReduceGrants(t *testing.T) {
 	l := newLink()
 	start, granted := l.now, 0
