Do not back off from controllers in a settled data centre

Change: a relay that has a version and knows peers pulls every 0.5 to 1 s while no controller answers. That is two nodes a data centre, so that it is no storm; nodes without a version back off as before.

--- a/distribution/subscriber/pull.go
+++ b/distribution/subscriber/pull.go
@@ -55,12 +55,17 @@
 }
 
 // backoff returns the time until the next pull: one period after an answer, and an exponential backoff with full jitter while no
-// controller answers.
+// controller answers. The few relays of a settled data centre do not back off: controllers that lost power together know no relay until it
+// pulls, and acknowledge edits soon after. A node without a version may be one of a whole fleet that starts.
 func (c *Core) backoff() tiller.Millis {
 	if c.unansweredPulls <= 1 {
 		return pullPeriod
 	}
 
+	if !c.store.Version().IsZero() && len(c.view.Peers) > 1 {
+		return pullPeriod/2 + c.jitter(pullPeriod/2)
+	}
+
 	return pullPeriod/2 + c.jitter(min(pullPeriod<<c.unansweredPulls, maxBackoff))
 }
 
--- a/internal/fleettest/distribution_test.go
+++ b/internal/fleettest/distribution_test.go
@@ -306,3 +306,35 @@
 	t.Logf("slowest of 30 edits was in force everywhere after %d ms", slowest)
 	require.LessOrEqual(t, slowest, bound)
 }
+
+// TestEditRightAfterAllControllersRestartedIsInForceInTime takes all controllers away for a while, as a loss of power does, and applies an edit
+// as soon as one leads again. They know no relay until it pulls, so the relays must not have backed off for longer than the bound.
+func TestEditRightAfterAllControllersRestartedIsInForceInTime(t *testing.T) {
+	const (
+		bound       = 2 * tiller.Second
+		dataCentres = 4
+	)
+
+	for _, outage := range []tiller.Millis{1200, 6000, 30_000} {
+		f, _ := settledFleet(t, dataCentres, 8)
+		slowest := tiller.Millis(0)
+
+		for change := 2; change < 32; change++ {
+			for _, c := range f.controllers {
+				c.up = false
+			}
+
+			f.run(outage)
+
+			for _, c := range f.controllers {
+				f.startController(c)
+			}
+
+			v := f.edit(change)
+			slowest = max(slowest, f.until(convergenceBound, "the edit is in force everywhere", f.inForce(v, everywhere)))
+		}
+
+		t.Logf("outage of %d ms: the slowest of 30 edits was in force everywhere after %d ms", outage, slowest)
+		require.LessOrEqual(t, slowest, bound, "outage of %d ms", outage)
+	}
+}
