Hold a slot until the link has taken the answer

A slot was freed when the backend server had answered, so that requests kept starting and their answers queued for the link, where no limit applied.

Change: an answer to another node frees its slot once it is flushed. The limiter's latencies then include the link, so that the wait is no longer added to them. A slot is also freed when a run panics. The other node of a hop gets a deadline that is earlier by the mean overhead of a hop, so that its refusal arrives while this node waits. "call served late" tells the time of the search for a worker.

--- a/calls/forwarder/call.go
+++ b/calls/forwarder/call.go
@@ -21,6 +21,10 @@
 	table    *Table
 	request  *request
 	attempts *retrier.Call
+	// attemptedAt is when the latest attempt began.
+	attemptedAt tiller.Millis
+	// busyWorkers is the number of no-wait attempts that found no free slot.
+	busyWorkers int
 }
 
 // defaultChainRetries is the number of retries of a chain whose caller states none, and the largest number that is accepted.
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -88,6 +88,7 @@
 		}
 
 		c.attempts.Begin()
+		c.attemptedAt = f.Clock.Now()
 
 		answer, err := f.attemptOn(ctx, c, backend, noWait)
 		if noWait && backend.Worker() != f.Name {
@@ -101,6 +102,7 @@
 		if noWait && err.Reason() == tiller.ReasonNoSlot && ctx.Err() == nil {
 			search.markBusy(backend.Worker())
 			c.attempts.Undo()
+			c.busyWorkers++
 
 			continue
 		}
@@ -187,13 +189,13 @@
 // send passes the attempt to the inbound proxy of the chosen worker and returns its answer.
 func (f *Forwarder) send(ctx context.Context, q *request, backend tiller.Backend, limit int64) (*Answer, *tiller.CallError) {
 	if backend.Worker() == f.Name {
-		return f.admit(ctx, q)
+		return f.sendToOwnWorker(ctx, q)
 	}
 
 	began := f.Clock.Now()
 	done := measure(f.stages.hop)
 	x, failed := f.NodeExchanger.Do(ctx, exchanger.Request{
-		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: q.hopHeader(f.Clock.Now(), backend),
+		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: q.hopHeader(began, backend, f.returnMargin(q, began)),
 		Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length,
 	})
 
@@ -220,6 +222,17 @@
 	return answer, err
 }
 
+// sendToOwnWorker runs the attempt on this VM's backend server. The slot of a buffered answer is freed here, since the answer may wait
+// behind those to earlier requests on the caller's connection.
+func (f *Forwarder) sendToOwnWorker(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
+	answer, err := f.admit(ctx, q)
+	if answer != nil && answer.rest == nil {
+		answer.close()
+	}
+
+	return answer, err
+}
+
 // takeRest returns the unread part of a body that can be sent only once and marks it as consumed; nil if there is none.
 func (q *request) takeRest() io.Reader {
 	if q.body.rest == nil {
@@ -257,7 +270,16 @@
 	return a, nil
 }
 
-func (q *request) hopHeader(now tiller.Millis, to tiller.Backend) http.Header {
+// maxReturnMarginShare bounds the part of the time left that is reserved for the way back.
+const maxReturnMarginShare = 0.1
+
+// returnMargin returns the time before the deadline at which the other node must have answered, so that its refusal arrives while this node
+// still waits: a request whose refusal is missed may have run, and a caller cannot send it again.
+func (f *Forwarder) returnMargin(q *request, now tiller.Millis) tiller.Millis {
+	return max(min(f.Balancer.HopOverhead(), tiller.Millis(maxReturnMarginShare*float64(q.deadline-now))), 0)
+}
+
+func (q *request) hopHeader(now tiller.Millis, to tiller.Backend, margin tiller.Millis) http.Header {
 	h := q.header.Clone()
 	h.Set(HeaderAttempt, q.attempt)
 	h.Set(HeaderTo, string(to.Worker()))
@@ -265,7 +287,7 @@
 	h.Set(HeaderOrigin, string(q.origin))
 	h.Set(HeaderRoute, q.route)
 	setInt(h, HeaderPriority, int64(q.priority))
-	setInt(h, HeaderDeadline, int64(max(q.deadline-now, 0)))
+	setInt(h, HeaderDeadline, int64(max(q.deadline-margin-now, 0)))
 
 	// Values that the other node assumes by default are left out, since every header counts on narrow links.
 	if q.cause != q.id {
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -45,15 +45,24 @@
 	f.writeHop(w, q.attempt, answer)
 }
 
+// writeHop sends an answer to another node. The answer is closed, which frees its slot, only once the VM's link has taken it: requests that
+// start while the link cannot carry their answers would queue there, past the limits of the admission control.
 func (f *Forwarder) writeHop(w http.ResponseWriter, attempt string, a *Answer) {
+	defer a.close()
+
 	load, limit, meanLatency := f.Limiter.Load()
+	if len(a.closers) > 0 {
+		// The slot of this answer is about to be freed.
+		load--
+	}
+
 	a.header = a.header.Clone()
 	h := a.header
 	h.Set(HeaderAttempt, attempt)
 	h.Set(HeaderLength, strconv.Itoa(len(a.body)))
 	setInt(h, HeaderLoad, int64(load))
 	setInt(h, HeaderLimit, int64(limit))
-	setInt(h, HeaderMeanLatency, int64(meanLatency+f.linkWait()))
+	setInt(h, HeaderMeanLatency, int64(meanLatency))
 
 	if a.queued > 0 {
 		setInt(h, HeaderQueue, int64(a.queued))
@@ -67,7 +76,10 @@
 		h.Set(HeaderReplayed, "true")
 	}
 
-	writeAndClose(w, a)
+	a.write(w)
+
+	// A failed flush has closed the connection, which tells the other node.
+	_ = http.NewResponseController(w).Flush()
 }
 
 func (f *Forwarder) hopRequest(w http.ResponseWriter, r *http.Request) (*request, *tiller.CallError) {
@@ -120,8 +132,7 @@
 	return d
 }
 
-// admit waits for a slot and runs the request on this worker's backend server, or refuses it. The slot is held until the answer
-// has been read, or passed on if it is too large to buffer.
+// admit waits for a slot and runs the request on this worker's backend server, or refuses it. The slot is held until the answer is closed.
 func (f *Forwarder) admit(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
 	target, err := f.readyTarget()
 	if err != nil {
@@ -140,18 +151,24 @@
 		return nil, err
 	}
 
+	outcome, returned := limiter.OutcomeFailed, false
+
+	// The slot is freed here unless an answer takes it along, also when the run panics.
+	defer func() {
+		if !returned {
+			slot.Release(outcome)
+		}
+	}()
+
 	started := f.Clock.Now()
 	answer, err := f.runAdmitted(ctx, q, target, settings)
-	outcome := outcomeOf(answer, err)
+	outcome = outcomeOf(answer, err)
 
 	if answer != nil {
 		answer.queued, answer.ran = started-arrived, f.Clock.Now()-started
-	}
-
-	if answer == nil || answer.rest == nil {
-		slot.Release(outcome)
-	} else {
 		answer.onClose(func() { slot.Release(outcome) })
+
+		returned = true
 	}
 
 	return answer, err
@@ -311,7 +328,8 @@
 	x, failed := f.BackendExchanger.Do(ctx, exchanger.Request{
 		To: target.address, Method: q.method, Target: q.target, Host: q.host, Header: header,
 		Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length,
-		Matches: func(h http.Header) bool { return f.Dialect.Matches(h, terms) },
+		Matches:    func(h http.Header) bool { return f.Dialect.Matches(h, terms) },
+		Identifies: func(h http.Header) bool { return f.Dialect.Identifies(h, terms) },
 	})
 
 	done()
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -32,7 +32,8 @@
 
 	if line.Enabled() {
 		line.Info(message, append(l.callFields(c), "worker", string(a.worker), "status", a.status, "attempts", c.attempts.Attempts(),
-			"took_ms", int64(l.clock.Now()-c.request.arrivedAt), "queue_ms", int64(a.queued), "run_ms", int64(a.ran))...)
+			"took_ms", int64(l.clock.Now()-c.request.arrivedAt), "search_ms", int64(c.attemptedAt-c.request.arrivedAt),
+			"busy_workers", c.busyWorkers, "queue_ms", int64(a.queued), "run_ms", int64(a.ran))...)
 	}
 }
 
