Number crashes by what was known when a request was sent

Cause: a request sent in the millisecond in which a crash was recorded counted as broken by that crash. TestCrashingRequestCrashesTwoServersIncludingResends failed once with three servers instead of two, where a server breaks connections without ending.

Change: a request carries the number of the crash that would break it, one more than the crashes known when it is sent; no clock is compared.

--- a/calls/forwarder/crash.go
+++ b/calls/forwarder/crash.go
@@ -1,29 +1,14 @@
 package forwarder
 
-import (
-	"sync"
+import "sync/atomic"
 
-	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-)
+// crashCounter numbers the crashes of the backend server, so that copies of a request that broke in the same crash are reported as one. It is
+// safe for concurrent use.
+type crashCounter struct{ known atomic.Uint64 }
 
-// crashCounter numbers the crashes of the backend server, so that requests which broke in the same crash are reported as one. It is safe
-// for concurrent use.
-type crashCounter struct {
-	mu     sync.Mutex
-	number uint64
-	at     tiller.Millis
-}
+// next returns the number of the crash in which a request would break that is sent now: a crash breaks every request in flight, so that no
+// request outlives one.
+func (c *crashCounter) next() uint64 { return c.known.Load() + 1 }
 
-// crashOf returns the number of the crash that broke a request sent at the given time. A crash breaks every request in flight, so one that
-// was sent before the last known crash broke in it.
-func (c *crashCounter) crashOf(sentAt, now tiller.Millis) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.number == 0 || sentAt > c.at {
-		c.number++
-		c.at = now
-	}
-
-	return c.number
-}
+// record records that a request broke in the crash of the given number.
+func (c *crashCounter) record(number uint64) { c.known.CompareAndSwap(number-1, number) }
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -323,7 +323,7 @@
 	header := q.header.Clone()
 	f.Dialect.SetBackendTerms(header, terms)
 
-	sentAt := f.Clock.Now()
+	crash := f.crashes.next()
 	done := measure(f.stages.worker)
 	x, failed := f.BackendExchanger.Do(ctx, exchanger.Request{
 		To: target.address, Method: q.method, Target: q.target, Host: q.host, Header: header,
@@ -335,7 +335,7 @@
 	done()
 
 	if failed != nil {
-		return nil, f.backendFailure(ctx, q, target, failed, sentAt)
+		return nil, f.backendFailure(ctx, q, target, failed, crash)
 	}
 
 	answer, err := readAnswer(x, limit)
@@ -376,7 +376,7 @@
 // backendFailure converts a failed exchange with the backend server into a call error. If the server crashed, the crash is reported to
 // the data centre before the caller gets the error.
 func (f *Forwarder) backendFailure(
-	ctx context.Context, q *request, target Target, failed *exchanger.ExchangeError, sentAt tiller.Millis,
+	ctx context.Context, q *request, target Target, failed *exchanger.ExchangeError, crash uint64,
 ) *tiller.CallError {
 	if failed.Refused() {
 		f.BackendServer.ReportRefused()
@@ -386,7 +386,8 @@
 
 	err := callFailure(ctx, failed)
 	if failed.Broken() && ctx.Err() == nil && f.backendCrashed(ctx, target) {
-		f.CrashReporter.ReportCrash(context.WithoutCancel(ctx), f.crashes.crashOf(sentAt, f.Clock.Now()), q.digest, q.route)
+		f.crashes.record(crash)
+		f.CrashReporter.ReportCrash(context.WithoutCancel(ctx), crash, q.digest, q.route)
 	}
 
 	return err.WithStrikes(f.CrashRecords.Strikes(q.digest))
