Try a worker whose latency is unknown

Cause: a worker that joins is taken for as fast as the mean of all.

Change: half of the mean latency is assumed of a warm worker that has not reported its own, so that each node tries it once and then knows. Cold ones are left out, as all nodes would send to a worker that has just started at the same time.

Result: TestWorkerThatJoinsBesideFasterOnesIsTried gave it 0 of 20 calls before, 1 now.

--- a/calls/balancer/balancer.go
+++ b/calls/balancer/balancer.go
@@ -42,6 +42,9 @@
 	meanLatencyWeight = 64
 	// overheadWeight is the number of requests that the mean overhead of a hop spans.
 	overheadWeight = 32
+	// untriedLatencyShare is the fraction of the mean latency that is assumed of a warm worker which has not reported its own. With the mean
+	// itself, a worker that joins beside faster ones would get no request at low load, and its latency would stay unknown.
+	untriedLatencyShare = 0.5
 	// defaultMeanLatency is assumed before any worker has reported a mean latency, in milliseconds.
 	defaultMeanLatency = 100
 	// DefaultChoices is the number of candidates that are compared unless the policy specifies another.
@@ -211,15 +214,20 @@
 		capacity = max(min(capacity, o.load.limit), 1)
 	}
 
-	if o.load.meanLatency > 0 {
-		meanLatency = float64(o.load.meanLatency)
-	}
-
 	if meanLatency == 0 {
 		meanLatency = defaultMeanLatency
 	}
 
-	used := float64(load+1) / (float64(capacity+1) * c.share * capacityShare(now, c, p))
+	warmShare := capacityShare(now, c, p)
+
+	switch {
+	case o.load.meanLatency > 0:
+		meanLatency = float64(o.load.meanLatency)
+	case warmShare == 1:
+		meanLatency *= untriedLatencyShare
+	}
+
+	used := float64(load+1) / (float64(capacity+1) * c.share * warmShare)
 
 	cost := meanLatency * (1 + contentionSlowdown*min(used, 1) + max(used-1, 0)) *
 		(1 + failurePenalty*max(o.currentFailureRate(now)-toleratedFailureRate, 0))
--- a/calls/balancer/balancer_test.go
+++ b/calls/balancer/balancer_test.go
@@ -146,6 +146,42 @@
 	require.Greater(t, counts["near-w1"], 5*counts["near-w2"])
 }
 
+// TestWorkerThatJoinsBesideFasterOnesIsTried sends few calls, so that load alone never moves one to the new worker.
+func TestWorkerThatJoinsBesideFasterOnesIsTried(t *testing.T) {
+	const (
+		fast  = tiller.Millis(50)
+		slow  = tiller.Millis(150)
+		calls = 20
+	)
+
+	b := newBalancer()
+	known, joined := entry("near", 0, nil), entry("near", 1, nil)
+
+	for range 100 {
+		b.RecordLoad(now, "near-w0", balancer.NewLoad(0, 10, fast))
+		b.RecordLoad(now, "near-w9", balancer.NewLoad(0, 10, slow))
+	}
+
+	picks := map[tiller.Worker]int{}
+
+	for range calls {
+		backend, ok := b.Pick(now, candidates(known, joined), noneTried(), policy()).Get()
+		require.True(t, ok)
+
+		picks[backend.Worker()]++
+
+		b.RecordOutcome(now, backend.Worker(), nil, policy())
+
+		if backend.Worker() == "near-w0" {
+			b.RecordLoad(now, "near-w0", balancer.NewLoad(0, 10, fast))
+		} else {
+			b.RecordLoad(now, "near-w1", balancer.NewLoad(0, 10, slow))
+		}
+	}
+
+	require.Equal(t, 1, picks["near-w1"], "it is tried, and not again once it is known to be slower")
+}
+
 func TestTriedAndZeroShareWorkersAreExcluded(t *testing.T) {
 	b := newBalancer()
 	one := entry("near", 1, nil)
