--- a/calls/acceptor/exchange.go
+++ b/calls/acceptor/exchange.go
@@ -239,17 +239,6 @@
 	}
 }
 
-// FlushError sends the headers and what has been written of the body, and waits until the connection has taken them.
-func (e *exchange) FlushError() error {
-	e.WriteHeader(http.StatusOK)
-
-	if err := e.flush(); err != nil {
-		return err
-	}
-
-	return e.conn.writer.Flush()
-}
-
 // complete sends the rest of the response. It closes the connection if the handler wrote less than the Content-Length.
 func (e *exchange) complete() {
 	e.WriteHeader(http.StatusOK)
--- a/calls/forwarder/answer.go
+++ b/calls/forwarder/answer.go
@@ -63,17 +63,14 @@
 // onClose registers a function that runs when the answer is closed.
 func (a *Answer) onClose(f func()) { a.closers = append(a.closers, f) }
 
-// close discards the unread rest and runs the registered functions, once.
+// close discards the unread rest and runs the registered functions.
 func (a *Answer) close() {
 	if a.rest != nil {
 		// The rest is discarded, so an error does not matter.
 		_ = a.rest.Close()
 	}
 
-	closers := a.closers
-	a.closers = nil
-
-	for _, f := range closers {
+	for _, f := range a.closers {
 		f()
 	}
 }
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -189,7 +189,7 @@
 // send passes the attempt to the inbound proxy of the chosen worker and returns its answer.
 func (f *Forwarder) send(ctx context.Context, q *request, backend tiller.Backend, limit int64) (*Answer, *tiller.CallError) {
 	if backend.Worker() == f.Name {
-		return f.sendToOwnWorker(ctx, q)
+		return f.admit(ctx, q)
 	}
 
 	began := f.Clock.Now()
@@ -222,17 +222,6 @@
 	return answer, err
 }
 
-// sendToOwnWorker runs the attempt on this VM's backend server. The slot of a buffered answer is freed here, since the answer may wait
-// behind those to earlier requests on the caller's connection.
-func (f *Forwarder) sendToOwnWorker(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
-	answer, err := f.admit(ctx, q)
-	if answer != nil && answer.rest == nil {
-		answer.close()
-	}
-
-	return answer, err
-}
-
 // takeRest returns the unread part of a body that can be sent only once and marks it as consumed; nil if there is none.
 func (q *request) takeRest() io.Reader {
 	if q.body.rest == nil {
--- a/calls/forwarder/header.go
+++ b/calls/forwarder/header.go
@@ -58,8 +58,8 @@
 	HeaderLoad = "Tiller-Load"
 	// HeaderLimit carries the concurrency limit of the worker; part of the answer.
 	HeaderLimit = "Tiller-Limit"
-	// HeaderMeanLatency carries the mean latency of requests at the worker, including the wait for its VM's link, in milliseconds; part of
-	// the answer.
+	// HeaderMeanLatency carries the mean latency of requests at the worker plus the wait for its VM's link, in milliseconds; part of the
+	// answer.
 	HeaderMeanLatency = "Tiller-Pace-Ms"
 	// HeaderQueue carries the time that a request waited for a slot in milliseconds, absent for none; part of the answer.
 	HeaderQueue = "Tiller-Queue-Ms"
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -45,24 +45,15 @@
 	f.writeHop(w, q.attempt, answer)
 }
 
-// writeHop sends an answer to another node. The answer is closed, which frees its slot, only once the VM's link has taken it: requests that
-// start while the link cannot carry their answers would queue there, past the limits of the admission control.
 func (f *Forwarder) writeHop(w http.ResponseWriter, attempt string, a *Answer) {
-	defer a.close()
-
 	load, limit, meanLatency := f.Limiter.Load()
-	if len(a.closers) > 0 {
-		// The slot of this answer is about to be freed.
-		load--
-	}
-
 	a.header = a.header.Clone()
 	h := a.header
 	h.Set(HeaderAttempt, attempt)
 	h.Set(HeaderLength, strconv.Itoa(len(a.body)))
 	setInt(h, HeaderLoad, int64(load))
 	setInt(h, HeaderLimit, int64(limit))
-	setInt(h, HeaderMeanLatency, int64(meanLatency))
+	setInt(h, HeaderMeanLatency, int64(meanLatency+f.linkWait()))
 
 	if a.queued > 0 {
 		setInt(h, HeaderQueue, int64(a.queued))
@@ -76,10 +67,7 @@
 		h.Set(HeaderReplayed, "true")
 	}
 
-	a.write(w)
-
-	// A failed flush has closed the connection, which tells the other node.
-	_ = http.NewResponseController(w).Flush()
+	writeAndClose(w, a)
 }
 
 func (f *Forwarder) hopRequest(w http.ResponseWriter, r *http.Request) (*request, *tiller.CallError) {
@@ -132,7 +120,8 @@
 	return d
 }
 
-// admit waits for a slot and runs the request on this worker's backend server, or refuses it. The slot is held until the answer is closed.
+// admit waits for a slot and runs the request on this worker's backend server, or refuses it. The slot is held until the answer
+// has been read, or passed on if it is too large to buffer.
 func (f *Forwarder) admit(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
 	target, err := f.readyTarget()
 	if err != nil {
@@ -151,11 +140,11 @@
 		return nil, err
 	}
 
-	outcome, returned := limiter.OutcomeFailed, false
+	outcome, streaming := limiter.OutcomeFailed, false
 
-	// The slot is freed here unless an answer takes it along, also when the run panics.
+	// The slot is freed here unless a streamed answer takes it along, also when the run panics.
 	defer func() {
-		if !returned {
+		if !streaming {
 			slot.Release(outcome)
 		}
 	}()
@@ -166,9 +155,12 @@
 
 	if answer != nil {
 		answer.queued, answer.ran = started-arrived, f.Clock.Now()-started
-		answer.onClose(func() { slot.Release(outcome) })
+	}
 
-		returned = true
+	if answer != nil && answer.rest != nil {
+		streaming = true
+
+		answer.onClose(func() { slot.Release(outcome) })
 	}
 
 	return answer, err
--- a/calls/shaper/scheduler.go
+++ b/calls/shaper/scheduler.go
@@ -12,9 +12,9 @@
 const (
 	// burstBytes is the backlog allowed at the link itself: two packets, so that the link is not idle between two timers.
 	burstBytes = 3000
-	// rankBytesPerMs converts the size of a message to its rank: each 10 bytes count as a submission 1 ms later, so that small messages pass
-	// large ones. A request to another node, for which a slot may be held here, does not wait for a queue of answers.
-	rankBytesPerMs = 10
+	// rankBytesPerMs converts the size of a message to its rank: each 100 bytes count as a submission 1 ms later, so that small messages pass
+	// large ones that were submitted shortly before.
+	rankBytesPerMs = 100
 	// maxRankDelay bounds how far a large message is moved back.
 	maxRankDelay tiller.Millis = 500
 	// minReleaseDelay keeps a timer from firing before the link has sent anything.
