--- a/calls/acceptor/acceptor_test.go
+++ b/calls/acceptor/acceptor_test.go
@@ -7,9 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -276,82 +274,6 @@
 	require.NoError(t, <-done)
 }
 
-// pendingListener has one connection that was opened before the shutdown and that it returns only after the shutdown has begun.
-type pendingListener struct {
-	net.Listener
-
-	accepting chan struct{}
-	stopping  chan struct{}
-	once      sync.Once
-	accepted  bool
-}
-
-// SetDeadline is called when a shutdown begins.
-func (l *pendingListener) SetDeadline(time.Time) error {
-	l.once.Do(func() { close(l.stopping) })
-
-	return nil
-}
-
-// Accept returns the pending connection, and then an error as of a listener past its deadline.
-func (l *pendingListener) Accept() (net.Conn, error) {
-	if l.accepted {
-		return nil, os.ErrDeadlineExceeded
-	}
-
-	l.accepted = true
-
-	close(l.accepting)
-	<-l.stopping
-
-	return l.Listener.Accept()
-}
-
-// TestShutdownServesAConnectionThatWasJustOpened guards against a caller whose request is sent, but whose connection is cut off because it was
-// not accepted yet when the shutdown began.
-func TestShutdownServesAConnectionThatWasJustOpened(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-
-	l := &pendingListener{Listener: inner, accepting: make(chan struct{}), stopping: make(chan struct{})}
-	a := acceptor.New(http.HandlerFunc(echo), acceptor.DefaultLimits, acceptor.Options{})
-	c := dial(t, inner.Addr().String(), "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
-	done := make(chan error, 1)
-
-	go func() { done <- a.Serve(l) }()
-
-	<-l.accepting
-	require.NoError(t, a.Shutdown(context.Background()))
-	require.ErrorIs(t, <-done, acceptor.ErrClosed)
-
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	require.NoError(t, err)
-	require.NoError(t, resp.Body.Close())
-	require.Equal(t, http.StatusOK, resp.StatusCode)
-	require.True(t, resp.Close)
-}
-
-// TestPanicEndsOnlyItsOwnRequest guards against one request that brings down the whole process.
-func TestPanicEndsOnlyItsOwnRequest(t *testing.T) {
-	_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/poison" {
-			panic("a fault in the handler")
-		}
-
-		echo(w, r)
-	}, acceptor.DefaultLimits())
-
-	poisoned := dial(t, address, "GET /poison HTTP/1.1\r\nHost: a\r\n\r\n")
-	_, err := poisoned.Read(make([]byte, 1))
-	require.Error(t, err, "no answer, since the request may have run")
-
-	healthy := dial(t, address, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
-	resp, err := http.ReadResponse(bufio.NewReader(healthy), nil)
-	require.NoError(t, err)
-	require.NoError(t, resp.Body.Close())
-	require.Equal(t, http.StatusOK, resp.StatusCode)
-}
-
 // TestDrainClosesAContinuouslyPipelinedConnection pipelines further requests during a drain. The connection must close although there is
 // always another request to read.
 func TestDrainClosesAContinuouslyPipelinedConnection(t *testing.T) {
--- a/calls/forwarder/crash.go
+++ b/calls/forwarder/crash.go
@@ -1,6 +1,13 @@
 package forwarder
 
-import "sync/atomic"
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
+)
 
 // crashCounter numbers the crashes of the backend server, so that copies of a request that broke in the same crash are reported as one. It is
 // safe for concurrent use.
@@ -12,3 +19,38 @@
 
 // record records that a request broke in the crash of the given number.
 func (c *crashCounter) record(number uint64) { c.known.CompareAndSwap(number-1, number) }
+
+// backendFailure converts a failed exchange with the backend server into a call error. If the server crashed, the crash is reported to
+// the data centre before the caller gets the error.
+func (f *Forwarder) backendFailure(
+	ctx context.Context, q *request, target Target, failed *exchanger.ExchangeError, crash uint64,
+) *tiller.CallError {
+	if failed.Refused() {
+		f.BackendServer.ReportRefused()
+
+		return notRun(tiller.ReasonNoBackend, fmt.Sprintf("the backend server of %s refuses connections", f.Name)).WithUntried()
+	}
+
+	err := callFailure(ctx, failed)
+	if failed.Broken() && ctx.Err() == nil && f.backendCrashed(ctx, target) {
+		f.crashes.record(crash)
+		f.CrashReporter.ReportCrash(context.WithoutCancel(ctx), crash, q.digest, q.route)
+	}
+
+	return err.WithStrikes(f.CrashRecords.Strikes(q.digest))
+}
+
+// backendCrashed reports whether a broken connection counts as a crash of the backend server.
+func (f *Forwarder) backendCrashed(ctx context.Context, target Target) bool {
+	if !f.ConfirmCrashes {
+		return true
+	}
+
+	if !f.BackendExchanger.Refuses(ctx, target.address) {
+		return false
+	}
+
+	f.BackendServer.ReportRefused()
+
+	return true
+}
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"net/http"
 	"strconv"
 
@@ -364,38 +363,3 @@
 
 	return answer, nil
 }
-
-// backendFailure converts a failed exchange with the backend server into a call error. If the server crashed, the crash is reported to
-// the data centre before the caller gets the error.
-func (f *Forwarder) backendFailure(
-	ctx context.Context, q *request, target Target, failed *exchanger.ExchangeError, crash uint64,
-) *tiller.CallError {
-	if failed.Refused() {
-		f.BackendServer.ReportRefused()
-
-		return notRun(tiller.ReasonNoBackend, fmt.Sprintf("the backend server of %s refuses connections", f.Name)).WithUntried()
-	}
-
-	err := callFailure(ctx, failed)
-	if failed.Broken() && ctx.Err() == nil && f.backendCrashed(ctx, target) {
-		f.crashes.record(crash)
-		f.CrashReporter.ReportCrash(context.WithoutCancel(ctx), crash, q.digest, q.route)
-	}
-
-	return err.WithStrikes(f.CrashRecords.Strikes(q.digest))
-}
-
-// backendCrashed reports whether a broken connection counts as a crash of the backend server.
-func (f *Forwarder) backendCrashed(ctx context.Context, target Target) bool {
-	if !f.ConfirmCrashes {
-		return true
-	}
-
-	if !f.BackendExchanger.Refuses(ctx, target.address) {
-		return false
-	}
-
-	f.BackendServer.ReportRefused()
-
-	return true
-}
