Derive the nonce of a strike from the crash and the request

Cause: the nonces of the latest crash were kept in a map that was cleared when another crash was reported, so that reports of two crashes that crossed counted a copy twice.

Change: the nonce is a hash of a base of the process, the crash and the request; no state but the base is kept.

Result: the case "copies whose reports cross that of another crash" counted 2 before, 1 now.

--- a/process/node/strike.go
+++ b/process/node/strike.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -28,9 +29,8 @@
 	pending []*pendingStrike
 	seen    map[strikeID]struct{}
 	order   []strikeID
-	// nonces are the nonces of the latest crash, by the requests that were in flight.
-	nonces map[quarantiner.Digest]uint64
-	crash  uint64
+	// base distinguishes this process's crashes from those of others, zero until the first crash.
+	base uint64
 }
 
 // strikeID identifies a strike, so that repeated deliveries of it count once.
@@ -43,7 +43,7 @@
 const maxSeenStrikes = 4096
 
 func newStrikeTracker(random *rand.Rand) *strikeTracker {
-	return &strikeTracker{random: random, seen: map[strikeID]struct{}{}, nonces: map[quarantiner.Digest]uint64{}}
+	return &strikeTracker{random: random, seen: map[strikeID]struct{}{}}
 }
 
 // firstSeen reports whether a strike is received for the first time, and remembers it.
@@ -65,16 +65,15 @@
 
 // nonceOf returns the nonce of a request's strike in a crash, the same for all copies of the request.
 func (t *strikeTracker) nonceOf(crash uint64, d quarantiner.Digest) uint64 {
-	if crash != t.crash {
-		t.crash = crash
-		clear(t.nonces)
+	if t.base == 0 {
+		t.base = t.random.Uint64() | 1
 	}
 
-	if t.nonces[d] == 0 {
-		t.nonces[d] = t.random.Uint64() | 1
-	}
+	h := fnv.New64a()
+	// A hash never returns an error.
+	_, _ = fmt.Fprintf(h, "%d %d %s", t.base, crash, d)
 
-	return t.nonces[d]
+	return h.Sum64() | 1
 }
 
 func (t *strikeTracker) add(now tiller.Millis, token, nonce uint64, peers int) *pendingStrike {
--- a/process/node/strike_test.go
+++ b/process/node/strike_test.go
@@ -26,6 +26,11 @@
 	}{
 		{"two copies in one crash", []node.CrashReport{{Crash: 1, Digest: crashed}, {Crash: 1, Digest: crashed}}, 1, 0},
 		{"one copy in each of two crashes", []node.CrashReport{{Crash: 1, Digest: crashed}, {Crash: 2, Digest: crashed}}, 2, 0},
+		{
+			"copies whose reports cross that of another crash",
+			[]node.CrashReport{{Crash: 1, Digest: crashed}, {Crash: 2, Digest: other}, {Crash: 1, Digest: crashed}},
+			1, 1,
+		},
 		{"two requests in one crash", []node.CrashReport{{Crash: 1, Digest: crashed}, {Crash: 1, Digest: other}}, 1, 1},
 	}
 
