Recover panics of both cores with one function

Node and controller had a copy each, which put the whole stack into the text of the error: it reached readiness answers and the time line. runner.Recover keeps the text short; the log has the stack as errorVerbose.

--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -214,11 +213,7 @@
 // advance advances the core and makes the records of the step durable. After an error, which a panic of the core is too, the core may differ
 // from the disk and must be restored from it.
 func (s *Server) advance(input controller.Input) (effects controller.Effects, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = eris.Errorf("panic: %v\n%s", p, debug.Stack())
-		}
-	}()
+	defer runner.Recover(&err)
 
 	effects = s.core.Step(s.clock.Now(), input)
 
--- a/process/controlserver/controlserver_test.go
+++ b/process/controlserver/controlserver_test.go
@@ -179,9 +179,6 @@
 	var panics atomic.Bool
 
 	c, stop := start(t, s, func(j tiller.Journal) tiller.Journal { return panickingJournal{Journal: j, panics: &panics} })
-
-	defer stop()
-
 	waitForLeader(t, c)
 	require.True(t, apply(t, c, 1).GetOutcome().GetAccepted())
 
@@ -200,6 +197,18 @@
 	require.False(t, panics.Load())
 	require.Len(t, shown.GetHistory(), accepted, "what was not written is not in force")
 	require.True(t, apply(t, c, 3).GetOutcome().GetAccepted())
+	accepted++
+
+	stop()
+
+	c, stop = start(t, s, nil)
+	defer stop()
+
+	waitForLeader(t, c)
+
+	shown, err = c.Show(context.Background())
+	require.NoError(t, err)
+	require.Len(t, shown.GetHistory(), accepted, "what was acknowledged is on the disk")
 }
 
 func TestErrorOfCorruptLogNamesFileAndOffset(t *testing.T) {
--- a/process/nodeserver/step.go
+++ b/process/nodeserver/step.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"runtime/debug"
-
-	"github.com/rotisserie/eris"
 
 	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
 )
 
 // step advances the core by one input and carries out the resulting effects.
@@ -36,12 +34,7 @@
 func (s *Server) advance(input node.Input) (effects node.Effects, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-
-	defer func() {
-		if p := recover(); p != nil {
-			err = eris.Errorf("panic: %v\n%s", p, debug.Stack())
-		}
-	}()
+	defer runner.Recover(&err)
 
 	effects = s.core.Step(s.clock.Now(), input)
 	if effects.TableChanged {
