Log memberships, elections, votes and refused requests to join

Change: each controller records its membership with the entry that set it, at start and after each change, each election that it begins, each vote with the reason of a refusal, and each request to join that it does not carry out. No decision changes.

TestEventsExplainElections covers the lines.

--- a/event.go
+++ b/event.go
@@ -41,6 +41,10 @@
 	EventBehind
 	EventPulled
 	EventPullLost
+	EventMembership
+	EventCampaign
+	EventVoted
+	EventJoinRequested
 )
 
 // Event is one entry of the timeline; the recorder adds the time and the process.
--- a/eventkind_enumer.go
+++ b/eventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EventKindName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lost"
+const _EventKindName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lostmembershipcampaignvotedjoin_requested"
 
-var _EventKindIndex = [...]uint16{0, 7, 14, 21, 33, 43, 57, 65, 73, 80, 87, 95, 104, 115, 120, 129, 134, 141, 145, 154, 158, 164, 171, 178, 182, 189, 200, 206, 218, 230, 241, 250, 256, 262, 271}
+var _EventKindIndex = [...]uint16{0, 7, 14, 21, 33, 43, 57, 65, 73, 80, 87, 95, 104, 115, 120, 129, 134, 141, 145, 154, 158, 164, 171, 178, 182, 189, 200, 206, 218, 230, 241, 250, 256, 262, 271, 281, 289, 294, 308}
 
-const _EventKindLowerName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lost"
+const _EventKindLowerName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lostmembershipcampaignvotedjoin_requested"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -58,9 +58,13 @@
 	_ = x[EventBehind-(31)]
 	_ = x[EventPulled-(32)]
 	_ = x[EventPullLost-(33)]
+	_ = x[EventMembership-(34)]
+	_ = x[EventCampaign-(35)]
+	_ = x[EventVoted-(36)]
+	_ = x[EventJoinRequested-(37)]
 }
 
-var _EventKindValues = []EventKind{EventStarted, EventStopped, EventElected, EventSteppedDown, EventLeaseLost, EventMemberChanged, EventAccepted, EventConflict, EventRefused, EventApplied, EventRejected, EventConfirmed, EventUnconfirmed, EventRelay, EventAnnounced, EventReady, EventDrained, EventGone, EventSuspected, EventDied, EventJoined, EventEjected, EventRetried, EventShed, EventCrashed, EventQuarantined, EventLifted, EventClaimPlaced, EventClaimFenced, EventDiskFailed, EventRecovered, EventBehind, EventPulled, EventPullLost}
+var _EventKindValues = []EventKind{EventStarted, EventStopped, EventElected, EventSteppedDown, EventLeaseLost, EventMemberChanged, EventAccepted, EventConflict, EventRefused, EventApplied, EventRejected, EventConfirmed, EventUnconfirmed, EventRelay, EventAnnounced, EventReady, EventDrained, EventGone, EventSuspected, EventDied, EventJoined, EventEjected, EventRetried, EventShed, EventCrashed, EventQuarantined, EventLifted, EventClaimPlaced, EventClaimFenced, EventDiskFailed, EventRecovered, EventBehind, EventPulled, EventPullLost, EventMembership, EventCampaign, EventVoted, EventJoinRequested}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:7]:     EventStarted,
@@ -97,6 +101,10 @@
 	_EventKindName[250:256]: EventBehind,
 	_EventKindName[256:262]: EventPulled,
 	_EventKindName[262:271]: EventPullLost,
+	_EventKindName[271:281]: EventMembership,
+	_EventKindName[281:289]: EventCampaign,
+	_EventKindName[289:294]: EventVoted,
+	_EventKindName[294:308]: EventJoinRequested,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -134,6 +142,10 @@
 	_EventKindLowerName[250:256]: EventBehind,
 	_EventKindLowerName[256:262]: EventPulled,
 	_EventKindLowerName[262:271]: EventPullLost,
+	_EventKindLowerName[271:281]: EventMembership,
+	_EventKindLowerName[281:289]: EventCampaign,
+	_EventKindLowerName[289:294]: EventVoted,
+	_EventKindLowerName[294:308]: EventJoinRequested,
 }
 
 var _EventKindNames = []string{
@@ -171,6 +183,10 @@
 	_EventKindName[250:256],
 	_EventKindName[256:262],
 	_EventKindName[262:271],
+	_EventKindName[271:281],
+	_EventKindName[281:289],
+	_EventKindName[289:294],
+	_EventKindName[294:308],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/source/replicator/core_test.go
+++ b/source/replicator/core_test.go
@@ -141,3 +141,37 @@
 
 	require.NotEqual(t, replicator.RoleLeader, c.Role())
 }
+
+// details returns the details of the events of one kind.
+func details(e replicator.Effects, kind tiller.EventKind) []string {
+	var out []string
+
+	for _, event := range e.Events {
+		if event.Kind() == kind {
+			out = append(out, event.Detail())
+		}
+	}
+
+	return out
+}
+
+func TestEventsExplainElections(t *testing.T) {
+	const pastLease = 10 * tiller.Second
+
+	c := newVoter(4, 4, 4)
+	first := c.Step(1000, replicator.Tick{})
+	require.Equal(t, []string{"voters [a a, b b, c c], learners [], set by entry 1 of term 1"}, details(first, tiller.EventMembership))
+
+	require.Equal(t, []string{"no pre-vote for b in term 5: a leader may hold its lease"},
+		details(c.Step(1001, voteRequest(5, true)), tiller.EventVoted))
+	require.Equal(t, []string{"no vote for b in term 3: term 4 has begun"},
+		details(c.Step(pastLease, voteRequest(3, false)), tiller.EventVoted))
+	require.Equal(t, []string{"vote for b in term 5"}, details(c.Step(pastLease, voteRequest(5, false)), tiller.EventVoted))
+
+	campaign := c.Step(2*pastLease, replicator.Tick{})
+	require.Equal(t, []string{"pre_candidate of term 6, last entry 3 of term 4"}, details(campaign, tiller.EventCampaign))
+
+	member := &wire.Member{Id: "d", Name: "d", Address: "d"}
+	join := c.Step(2*pastLease, messageFromB(&wire.Envelope{Body: &wire.Envelope_Join{Join: &wire.Join{Member: member}}}))
+	require.Equal(t, []string{`d d not added by this pre_candidate of term 5, leader ""`}, details(join, tiller.EventJoinRequested))
+}
--- a/source/replicator/election.go
+++ b/source/replicator/election.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"fmt"
+
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -24,6 +26,8 @@
 		c.setTerm(term, c.id)
 	}
 
+	c.emit(tiller.EventCampaign, "%s of term %d, last entry %d of term %d", c.role, term, c.lastIndex(), c.termAt(c.lastIndex()))
+
 	for _, m := range c.members {
 		if m.GetVoter() && m.GetId() != c.id {
 			c.send(m.GetAddress(), &wire.Envelope{Body: &wire.Envelope_VoteRequest{VoteRequest: &wire.VoteRequest{
@@ -95,7 +99,10 @@
 		return
 	}
 
-	granted := c.canGrantVote(r)
+	reason := c.refuseVote(r)
+	granted := reason == ""
+	c.emitVote(r, reason)
+
 	if granted && !r.GetPreVote() {
 		if r.GetTerm() > c.term {
 			c.becomeFollower(r.GetTerm(), "")
@@ -118,16 +125,42 @@
 	return 0
 }
 
-func (c *Core) canGrantVote(r *wire.VoteRequest) bool {
-	if r.GetTerm() < c.term || c.hasLiveLeader() || !c.upToDate(r) {
-		return false
+// emitVote records a vote, or why it was refused.
+func (c *Core) emitVote(r *wire.VoteRequest, reason string) {
+	kind := "vote"
+	if r.GetPreVote() {
+		kind = "pre-vote"
 	}
 
-	if r.GetPreVote() {
-		return r.GetTerm() > c.term
+	if reason == "" {
+		c.emit(tiller.EventVoted, "%s for %s in term %d", kind, c.nameOf(r.GetCandidate()), r.GetTerm())
+
+		return
 	}
 
-	return r.GetTerm() > c.term || c.vote == "" || c.vote == r.GetCandidate()
+	c.emit(tiller.EventVoted, "no %s for %s in term %d: %s", kind, c.nameOf(r.GetCandidate()), r.GetTerm(), reason)
+}
+
+// refuseVote returns why a vote must be refused, or an empty string if it may be granted.
+func (c *Core) refuseVote(r *wire.VoteRequest) string {
+	last := c.lastIndex()
+
+	switch {
+	case r.GetTerm() < c.term:
+		return fmt.Sprintf("term %d has begun", c.term)
+	case c.hasLiveLeader():
+		return "a leader may hold its lease"
+	case !c.upToDate(r):
+		return fmt.Sprintf("its last entry %d of term %d is older than %d of term %d", r.GetLastIndex(), r.GetLastTerm(), last, c.termAt(last))
+	case r.GetTerm() > c.term:
+		return ""
+	case r.GetPreVote():
+		return fmt.Sprintf("term %d has begun", c.term)
+	case c.vote != "" && c.vote != r.GetCandidate():
+		return "the vote went to " + c.nameOf(c.vote)
+	default:
+		return ""
+	}
 }
 
 func (c *Core) upToDate(r *wire.VoteRequest) bool {
--- a/source/replicator/membership.go
+++ b/source/replicator/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +20,15 @@
 	return nil
 }
 
+// nameOf returns the name of a member, or its identity if it is not one.
+func (c *Core) nameOf(id string) string {
+	if m := c.member(id); m != nil {
+		return m.GetName()
+	}
+
+	return id
+}
+
 func (c *Core) isVoter(id string) bool { return c.member(id).GetVoter() }
 
 func (c *Core) adoptMembers(e *wire.Entry) {
@@ -29,6 +39,22 @@
 	}
 }
 
+// emitMembership records which controllers this one believes to be voters and learners.
+func (c *Core) emitMembership() {
+	var voters, learners []string
+
+	for _, m := range c.members {
+		if m.GetVoter() {
+			voters = append(voters, m.GetName()+" "+m.GetId())
+		} else {
+			learners = append(learners, m.GetName()+" "+m.GetId())
+		}
+	}
+
+	c.emit(tiller.EventMembership, "voters [%s], learners [%s], set by entry %d of term %d",
+		strings.Join(voters, ", "), strings.Join(learners, ", "), c.membersIndex, c.termAt(c.membersIndex))
+}
+
 func (c *Core) reloadMembers() {
 	c.members = c.snapshot.GetMembers().GetMembers()
 	c.membersIndex = c.snapshot.GetIndex()
@@ -72,7 +98,13 @@
 
 // onJoin adds an unknown controller as a learner.
 func (c *Core) onJoin(m *wire.Member) {
-	if m.GetId() == "" || c.member(m.GetId()) != nil || !c.canChangeMembers() {
+	if m.GetId() == "" || c.member(m.GetId()) != nil {
+		return
+	}
+
+	if !c.canChangeMembers() {
+		c.emit(tiller.EventJoinRequested, "%s %s not added by this %s of term %d, leader %q", m.GetName(), m.GetId(), c.role, c.term, c.Leader())
+
 		return
 	}
 
--- a/source/replicator/replicator.go
+++ b/source/replicator/replicator.go
@@ -161,7 +161,9 @@
 
 	members      []*wire.Member
 	membersIndex uint64
-	progress     map[string]*progress
+	// reportedMembers is the index of the membership that was recorded last.
+	reportedMembers uint64
+	progress        map[string]*progress
 
 	round                uint64
 	pendingConfirmations []confirmation
@@ -230,6 +232,11 @@
 	c.resolveConfirmations()
 	c.recordHardState()
 
+	if c.reportedMembers != c.membersIndex {
+		c.reportedMembers = c.membersIndex
+		c.emitMembership()
+	}
+
 	return c.out
 }
 
@@ -241,6 +248,9 @@
 	if c.term > 0 {
 		c.lastLeaderContact = c.now
 	}
+
+	c.reportedMembers = c.membersIndex
+	c.emitMembership()
 }
 
 func (c *Core) tick() {
