Pass a request to join on from a follower to the leader

Cause: a controller with an empty disk asks its seeds to add it. Only the leader can, and followers dropped the request. Where the leader is no seed (a replacement at a new address never is), the lost disk stayed a voter without a log, unnoticed until the next loss took the majority.

Change: a follower passes the request on to the leader it knows, once.

TestLostDiskIsReplacedWhileTheLeaderIsNotASeed failed before.

--- a/source/replicator/cluster_test.go
+++ b/source/replicator/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -60,6 +61,8 @@
 	failDisk map[int]bool
 	// reads maps the token of each answered read to whether it was confirmed.
 	reads map[uint64]bool
+	// seeds are the addresses that a controller without a cluster asks to join; nil means all.
+	seeds []string
 }
 
 func newCluster(t testingT, seed uint64, size int) *cluster {
@@ -209,7 +212,7 @@
 	}
 
 	for _, o := range c.servers {
-		if o.up && o != s {
+		if o.up && o != s && (c.seeds == nil || slices.Contains(c.seeds, o.member.GetAddress())) {
 			c.net.Send(c.now, &wire.Envelope{
 				From: s.member.GetAddress(), To: o.member.GetAddress(), Body: &wire.Envelope_Join{Join: &wire.Join{Member: s.member}},
 			})
--- a/source/replicator/membership.go
+++ b/source/replicator/membership.go
@@ -96,18 +96,25 @@
 	c.broadcast()
 }
 
-// onJoin adds an unknown controller as a learner.
-func (c *Core) onJoin(m *wire.Member) {
+// onJoin handles a controller's request to be added. A follower passes it on, since a controller with an empty disk knows only its seeds and
+// the leader need not be one of them. A request that was passed on before is not passed on again.
+func (c *Core) onJoin(from string, m *wire.Member) {
 	if m.GetId() == "" || c.member(m.GetId()) != nil {
 		return
 	}
 
-	if !c.canChangeMembers() {
+	switch {
+	case c.canChangeMembers():
+		c.addLearner(m)
+	case c.role == RoleFollower && c.Leader() != "" && from == m.GetAddress():
+		c.emit(tiller.EventJoinRequested, "%s %s passed on to the leader %s", m.GetName(), m.GetId(), c.nameOf(c.leader))
+		c.send(string(c.Leader()), &wire.Envelope{Body: &wire.Envelope_Join{Join: &wire.Join{Member: m}}})
+	default:
 		c.emit(tiller.EventJoinRequested, "%s %s not added by this %s of term %d, leader %q", m.GetName(), m.GetId(), c.role, c.term, c.Leader())
-
-		return
 	}
+}
 
+func (c *Core) addLearner(m *wire.Member) {
 	learner := &wire.Member{Id: m.GetId(), Name: m.GetName(), Address: m.GetAddress()}
 	c.changeMembers(append(slices.Clone(c.members), learner), "learner %s added", m.GetName())
 
--- a/source/replicator/replicator.go
+++ b/source/replicator/replicator.go
@@ -306,7 +306,7 @@
 	case *wire.Envelope_InstallSnapshot:
 		c.onInstallSnapshot(e.GetFrom(), b.InstallSnapshot)
 	case *wire.Envelope_Join:
-		c.onJoin(b.Join.GetMember())
+		c.onJoin(e.GetFrom(), b.Join.GetMember())
 	default:
 	}
 }
--- a/source/replicator/replicator_test.go
+++ b/source/replicator/replicator_test.go
@@ -248,6 +248,31 @@
 	require.Equal(t, c.servers[leader].core.Commit(), c.servers[fresh].core.Commit())
 }
 
+func TestLostDiskIsReplacedWhileTheLeaderIsNotASeed(t *testing.T) {
+	c := threeVoters(t)
+	index := c.propose()
+	c.run(tiller.Second)
+
+	leader := c.leader()
+	other := (leader + 2) % 3
+	c.seeds = []string{c.address(other)}
+	fresh := c.wipe((leader + 1) % 3)
+	c.run(4 * tiller.Second)
+	require.Equal(t, leader, c.leader())
+	require.NotEmpty(t, c.servers[fresh].core.Cluster(), "the follower that is asked passes the request on to the leader")
+
+	for _, i := range []int{other, fresh} {
+		c.kill(i)
+		c.start(i)
+	}
+
+	c.wipe(leader)
+	c.run(4 * tiller.Second)
+	require.NotEqual(t, -1, c.leader(), "the second lost disk leaves two of three voters")
+	require.NotZero(t, c.propose())
+	require.Contains(t, c.committed, index)
+}
+
 // TestWipedDiskDoesNotVoteUnderItsOldIdentity guards against lost commits: a controller that lost its log would elect a leader that
 // lacks entries which the controller had acknowledged.
 func TestWipedDiskDoesNotVoteUnderItsOldIdentity(t *testing.T) {
