--- a/source/replicator/membership.go
+++ b/source/replicator/membership.go
@@ -99,11 +99,13 @@
 // onJoin handles a controller's request to be added. A follower passes it on, since a controller with an empty disk knows only its seeds and
 // the leader need not be one of them. A request that was passed on before is not passed on again.
 func (c *Core) onJoin(from string, m *wire.Member) {
-	if m.GetId() == "" || c.member(m.GetId()) != nil {
+	if m.GetId() == "" {
 		return
 	}
 
 	switch {
+	case c.role == RoleLeader && c.member(m.GetId()) != nil:
+		c.resendSnapshot(m)
 	case c.canChangeMembers():
 		c.addLearner(m)
 	case c.role == RoleFollower && c.Leader() != "" && from == m.GetAddress():
@@ -118,8 +120,13 @@
 	learner := &wire.Member{Id: m.GetId(), Name: m.GetName(), Address: m.GetAddress()}
 	c.changeMembers(append(slices.Clone(c.members), learner), "learner %s added", m.GetName())
 
-	// A joining controller has no cluster yet and accepts only a snapshot.
-	if p := c.progress[m.GetId()]; p != nil {
+	c.resendSnapshot(m)
+}
+
+// resendSnapshot starts the replication to a member with the snapshot if it has acknowledged nothing yet: a controller without a cluster
+// accepts only a snapshot, and the leader that added it may be gone.
+func (c *Core) resendSnapshot(m *wire.Member) {
+	if p := c.progress[m.GetId()]; p != nil && p.matchIndex == 0 {
 		p.nextIndex = 0
 	}
 }
--- a/source/replicator/replicator_test.go
+++ b/source/replicator/replicator_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -273,6 +274,28 @@
 	require.Contains(t, c.committed, index)
 }
 
+// TestLearnerWithoutASnapshotGetsItFromTheNextLeader guards against a lost disk that is never replaced: the leader that added the
+// learner is gone before its snapshot arrived.
+func TestLearnerWithoutASnapshotGetsItFromTheNextLeader(t *testing.T) {
+	c := newCluster(t, 1, 4)
+	c.run(10 * tiller.Second)
+
+	leader := c.leader()
+	victim := (leader + 1) % 4
+	fresh := c.wipe(victim)
+	c.net.Partition(func(from, to string) bool { return from == c.address(leader) && to == c.address(victim) })
+	c.run(3 * tiller.Second)
+	require.Empty(t, c.servers[fresh].core.Cluster())
+	require.True(t, slices.ContainsFunc(c.servers[leader].core.Members(), func(m *wire.Member) bool {
+		return m.GetId() == c.servers[fresh].member.GetId()
+	}), "the learner is added before it has the snapshot")
+
+	c.kill(leader)
+	c.run(4 * tiller.Second)
+	require.NotEqual(t, -1, c.leader())
+	require.NotEmpty(t, c.servers[fresh].core.Cluster(), "the next leader sends the snapshot")
+}
+
 // TestWipedDiskDoesNotVoteUnderItsOldIdentity guards against lost commits: a controller that lost its log would elect a leader that
 // lacks entries which the controller had acknowledged.
 func TestWipedDiskDoesNotVoteUnderItsOldIdentity(t *testing.T) {
