Give votes as a learner too

Cause: the entry that promotes a learner counts with the new voters, so the others can commit it before the learner has it. If one of them is then lost, the learner's vote is needed, and it refused it because its own log names it as a learner.

A replaced disk has a new identity and no cluster, so it still votes for nobody.

--- a/source/replicator/core_test.go
+++ b/source/replicator/core_test.go
@@ -175,3 +175,22 @@
 	join := c.Step(2*pastLease, messageFromB(&wire.Envelope{Body: &wire.Envelope_Join{Join: &wire.Join{Member: member}}}))
 	require.Equal(t, []string{`d d not added by this pre_candidate of term 5, leader ""`}, details(join, tiller.EventJoinRequested))
 }
+
+// TestVoterThatDoesNotKnowItIsOneVotes guards against a quorum that cannot be restored: the entry that promoted this learner was
+// committed by the others, one of which is gone.
+func TestVoterThatDoesNotKnowItIsOneVotes(t *testing.T) {
+	const pastLease = 10 * tiller.Second
+
+	learner := replicator.New("a", "a", replicator.NewTiming(100), rand.New(rand.NewPCG(1, 1)), replicator.RestoredState{
+		HardState: &wire.HardState{Term: 4},
+		Snapshot: &wire.Snapshot{Index: 1, Term: 1, Cluster: "cluster", Members: &wire.Members{Members: []*wire.Member{
+			{Id: "a", Name: "a", Address: "a"},
+			{Id: "b", Name: "b", Address: "b", Voter: true},
+			{Id: "c", Name: "c", Address: "c", Voter: true},
+		}}},
+	})
+	learner.Step(1, replicator.Tick{})
+	require.True(t, granted(learner.Step(pastLease, voteRequest(5, true))))
+	require.True(t, granted(learner.Step(pastLease, voteRequest(5, false))))
+	require.False(t, granted(learner.Step(pastLease, voteRequest(4, false))), "one vote a term, and none in an older one")
+}
--- a/source/replicator/election.go
+++ b/source/replicator/election.go
@@ -94,11 +94,9 @@
 	return c.lastLeaderContact > 0 && c.now < c.lastLeaderContact+c.timing.electionMin
 }
 
+// onVoteRequest answers also as a learner: the entry that made this controller a voter may not have arrived yet, and the candidate counts only
+// the votes of those that its own log names as voters.
 func (c *Core) onVoteRequest(from string, r *wire.VoteRequest) {
-	if !c.isVoter(c.id) {
-		return
-	}
-
 	reason := c.refuseVote(r)
 	granted := reason == ""
 	c.emitVote(r, reason)
