Forget the leader in a learner that hears nothing from it

Cause: a learner that is silent for a minute is removed. When it can be reached again nobody sends to it, and it asks to be added only while it knows no leader; only voters forgot theirs, with their elections.

Change: a learner forgets the leader after the election timeout. It then also stops redirecting operators to a controller that is gone.

TestLearnerForgetsASilentLeader failed before and passes.

--- a/source/replicator/core_test.go
+++ b/source/replicator/core_test.go
@@ -29,6 +29,18 @@
 	return replicator.New("a", "a", replicator.NewTiming(100), rand.New(rand.NewPCG(1, 1)), disk)
 }
 
+// newLearner returns a learner of a cluster with two voters, which do not run.
+func newLearner(term uint64) *replicator.Core {
+	return replicator.New("a", "a", replicator.NewTiming(100), rand.New(rand.NewPCG(1, 1)), replicator.RestoredState{
+		HardState: &wire.HardState{Term: term},
+		Snapshot: &wire.Snapshot{Index: 1, Term: 1, Cluster: "cluster", Members: &wire.Members{Members: []*wire.Member{
+			{Id: "a", Name: "a", Address: "a"},
+			{Id: "b", Name: "b", Address: "b", Voter: true},
+			{Id: "c", Name: "c", Address: "c", Voter: true},
+		}}},
+	})
+}
+
 func messageFromB(e *wire.Envelope) replicator.Receive {
 	e.From, e.To, e.Cluster = "b", "a", "cluster"
 
@@ -181,16 +193,24 @@
 func TestVoterThatDoesNotKnowItIsOneVotes(t *testing.T) {
 	const pastLease = 10 * tiller.Second
 
-	learner := replicator.New("a", "a", replicator.NewTiming(100), rand.New(rand.NewPCG(1, 1)), replicator.RestoredState{
-		HardState: &wire.HardState{Term: 4},
-		Snapshot: &wire.Snapshot{Index: 1, Term: 1, Cluster: "cluster", Members: &wire.Members{Members: []*wire.Member{
-			{Id: "a", Name: "a", Address: "a"},
-			{Id: "b", Name: "b", Address: "b", Voter: true},
-			{Id: "c", Name: "c", Address: "c", Voter: true},
-		}}},
-	})
+	learner := newLearner(4)
 	learner.Step(1, replicator.Tick{})
 	require.True(t, granted(learner.Step(pastLease, voteRequest(5, true))))
 	require.True(t, granted(learner.Step(pastLease, voteRequest(5, false))))
 	require.False(t, granted(learner.Step(pastLease, voteRequest(4, false))), "one vote a term, and none in an older one")
 }
+
+// TestLearnerForgetsASilentLeader guards against a learner that was removed during a cut and never asks to be added again: it asks only
+// while it knows no leader.
+func TestLearnerForgetsASilentLeader(t *testing.T) {
+	learner := newLearner(4)
+	learner.Step(1000, messageFromB(&wire.Envelope{Body: &wire.Envelope_Append{Append: &wire.Append{
+		Term: 5, Leader: "b", PreviousIndex: 1, PreviousTerm: 1,
+	}}}))
+	learner.Step(1100, replicator.Tick{})
+	require.Equal(t, tiller.Address("b"), learner.Leader())
+
+	learner.Step(1000+replicator.NewTiming(100).ElectionMax(), replicator.Tick{})
+	require.Empty(t, learner.Leader())
+	require.Equal(t, replicator.RoleFollower, learner.Role())
+}
--- a/source/replicator/replicator.go
+++ b/source/replicator/replicator.go
@@ -260,9 +260,18 @@
 		return
 	}
 
-	if c.now >= c.electionAt && c.isVoter(c.id) {
+	if c.now < c.electionAt {
+		return
+	}
+
+	if c.isVoter(c.id) {
 		c.campaign(true)
+
+		return
 	}
+
+	// A learner that the leader has removed hears nothing more, and asks to be added again only once it knows no leader.
+	c.becomeFollower(c.term, "")
 }
 
 func (c *Core) tickLeader() {
