Keep the request rate that a backend server states

Cause: the header that states the rate was not read anywhere. Its class, signals that only headers carry, has one more member, the statement that a server leaves.

Change: the server's node reads the rate from answers of every kind and keeps it with a token bucket in its limiter, which every request to the server passes. What cannot start in time is refused at once. Senders remember the rate and state it in attempts, so that a node which restarts knows it. Malformed statements are logged and change nothing.

With the reading of answers taken out TestRateIsReadFromAnswersOfAllKinds, TestServerThatStatesARateIsNotOverrun, TestRequestsGoWhereTheRateAllowsThem and TestEndOfAStatedRate fail.

--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -193,9 +193,12 @@
 	}
 
 	began := f.Clock.Now()
+	header := q.hopHeader(began, backend, f.returnMargin(q, began))
+	setRateLimit(header, f.Balancer.RateLimit(backend.Worker()))
+
 	done := measure(f.stages.hop)
 	x, failed := f.NodeExchanger.Do(ctx, exchanger.Request{
-		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: q.hopHeader(began, backend, f.returnMargin(q, began)),
+		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: header,
 		Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length,
 	})
 
@@ -214,6 +217,8 @@
 	f.Balancer.RecordLoad(f.Clock.Now(), backend.Worker(), balancer.NewLoad(
 		int(headerInt(h, HeaderLoad, 0)), int(headerInt(h, HeaderLimit, 1)), tiller.Millis(headerInt(h, HeaderMeanLatency, 0))))
 
+	f.recordRate(backend.Worker(), h)
+
 	answer, err = f.checkHop(q, answer, backend.Worker())
 	if err == nil && answer.ran > 0 {
 		f.Balancer.RecordHopOverhead(f.Clock.Now() - began - answer.queued - answer.ran)
--- a/calls/forwarder/dialect.go
+++ b/calls/forwarder/dialect.go
@@ -53,6 +53,11 @@
 	return tiller.AnswerServed
 }
 
+// Notice reads the request rate that a backend server accepts.
+func (Dialect) Notice(h http.Header) tiller.ServerNotice {
+	return tiller.NewServerNotice(tiller.ParseRate(h[HeaderServerLimit]))
+}
+
 // SetServedBy sets the headers that report to the caller how its call was served.
 func (Dialect) SetServedBy(h http.Header, served tiller.ServedBy) {
 	h.Set(HeaderHome, string(served.Home()))
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -43,6 +43,7 @@
 	address  tiller.Address
 	instance string
 	state    wire.BackendState
+	start    string
 }
 
 // NewTarget returns a target with the address a backend server listens on, the instance (one per start) and its state.
@@ -50,6 +51,13 @@
 	return Target{address: address, instance: instance, state: state}
 }
 
+// WithStart returns a copy with the identity of the server's start. It differs from the instance, which a server may keep when it restarts.
+func (t Target) WithStart(start string) Target {
+	t.start = start
+
+	return t
+}
+
 // BackendServer gives access to the backend server on this VM.
 type BackendServer interface {
 	// Target returns the current address, instance and state of the server.
@@ -100,11 +108,13 @@
 	served     metrics.Counter
 	refused    metrics.Counter
 	retried    metrics.Counter
+	rateLimit  metrics.GaugeFloat64
 	stages     stages
 	log        callLog
 	maxWaits   *maxWaits
 	freeShare  *freeShare
 	crashes    crashCounter
+	rateEvents rateEvents
 }
 
 var _ http.Handler = (*Forwarder)(nil)
@@ -117,6 +127,7 @@
 		served:    metrics.GetOrRegisterCounter("calls.served", options.Metrics),
 		refused:   metrics.GetOrRegisterCounter("calls.refused", options.Metrics),
 		retried:   metrics.GetOrRegisterCounter("calls.retried", options.Metrics),
+		rateLimit: metrics.GetOrRegisterGaugeFloat64("calls.rate_limit", options.Metrics),
 		stages:    newStages(options.Metrics),
 		maxWaits:  newMaxWaits(),
 		freeShare: &freeShare{share: 1},
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -40,6 +40,7 @@
 	name         tiller.Worker
 	backend      *backendServer
 	state        wire.BackendState
+	start        string
 	forward      *forwarder.Forwarder
 	server       *httptest.Server
 	table        atomic.Pointer[forwarder.Table]
@@ -52,7 +53,7 @@
 }
 
 func (n *fakeNode) Target() forwarder.Target {
-	return forwarder.NewTarget(tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), "", n.state)
+	return forwarder.NewTarget(tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), "", n.state).WithStart(n.start)
 }
 
 func (n *fakeNode) ReportRefused() { n.refused.Add(1) }
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -19,11 +19,13 @@
 func (f *Forwarder) serveHop(w http.ResponseWriter, r *http.Request) {
 	q, err := f.hopRequest(w, r)
 	if err != nil {
-		f.writeHop(w, r.Header.Get(HeaderAttempt), refusalAnswer(err))
+		f.writeHop(w, r, refusalAnswer(err))
 
 		return
 	}
 
+	f.learnRate(r.Header)
+
 	ctx, cancel := context.WithTimeout(r.Context(), (q.deadline - f.Clock.Now()).Duration())
 	defer cancel()
 
@@ -41,19 +43,21 @@
 		answer = refusalAnswer(err)
 	}
 
-	f.writeHop(w, q.attempt, answer)
+	f.writeHop(w, r, answer)
 }
 
-func (f *Forwarder) writeHop(w http.ResponseWriter, attempt string, a *Answer) {
+func (f *Forwarder) writeHop(w http.ResponseWriter, r *http.Request, a *Answer) {
 	load, limit, meanLatency := f.Limiter.Load()
 	a.header = a.header.Clone()
 	h := a.header
-	h.Set(HeaderAttempt, attempt)
+	h.Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
 	h.Set(HeaderLength, strconv.Itoa(len(a.body)))
 	setInt(h, HeaderLoad, int64(load))
 	setInt(h, HeaderLimit, int64(limit))
 	setInt(h, HeaderMeanLatency, int64(meanLatency+f.linkWait()))
 
+	f.reportRate(h, r.Header.Get(HeaderStart) != "")
+
 	if a.queued > 0 {
 		setInt(h, HeaderQueue, int64(a.queued))
 	}
@@ -315,6 +319,7 @@
 	f.Dialect.SetBackendTerms(header, terms)
 
 	crash := f.crashes.next()
+	sentAt := f.Clock.Now()
 	done := measure(f.stages.worker)
 	x, failed := f.BackendExchanger.Do(ctx, exchanger.Request{
 		To: target.address, Method: q.method, Target: q.target, Host: q.host, Header: header,
@@ -329,6 +334,8 @@
 		return nil, f.backendFailure(ctx, q, target, failed, crash)
 	}
 
+	f.observeNotice(target, sentAt, x.Status, x.Header)
+
 	answer, err := readAnswer(x, limit)
 	if err != nil {
 		return nil, err
--- a/calls/limiter/core.go
+++ b/calls/limiter/core.go
@@ -48,6 +48,7 @@
 	meanLatency   float64
 	latencyByKind map[string]float64
 	trial         limitTrial
+	rate          rateLimit
 	shed          int64
 }
 
@@ -83,7 +84,7 @@
 	switch {
 	case c.options.Slots == 0:
 		notify(refusal(tiller.ReasonNoBackend, "the worker has no slots"))
-	case c.HasFreeSlot():
+	case c.HasFreeSlot(now):
 		c.start(now, t)
 	case d.noWait:
 		notify(refusal(tiller.ReasonNoSlot, "no slot is free now"))
@@ -98,14 +99,15 @@
 	return tiller.NewCallError(tiller.VerdictNotRun, reason, detail).WithUntried()
 }
 
-func (c *Core) refuse(t *Ticket, reason tiller.Reason, detail string) {
+func (c *Core) refuse(now tiller.Millis, t *Ticket, reason tiller.Reason, detail string) {
 	c.shed++
 
-	t.notify(refusal(reason, detail).WithRetryAfter(tiller.Millis(c.serviceTime) + c.queueDrainTime()))
+	t.notify(refusal(reason, detail).WithRetryAfter(c.retryAfter(now)))
 }
 
 func (c *Core) start(now tiller.Millis, t *Ticket) {
 	c.inFlight++
+	c.rate.take(now)
 	t.startedAt = now
 	t.concurrency = c.inFlight
 	t.notify(nil)
@@ -150,23 +152,31 @@
 	return tiller.Millis(c.typicalLatency()/(slots+1) + work/slots)
 }
 
-// queueDrainTime estimates the time until all waiting requests have started.
-func (c *Core) queueDrainTime() tiller.Millis {
+// retryAfter estimates the time after which a refused request would find a free slot: the waiting ones have started then, and the rate that
+// the server accepts has room for one more.
+func (c *Core) retryAfter(now tiller.Millis) tiller.Millis {
 	work := 0.0
 	for _, t := range c.queue {
 		work += c.expectedLatency(t)
 	}
 
-	return c.waitAfter(work)
+	return max(tiller.Millis(c.serviceTime)+c.waitAfter(work), c.rate.wait(now, len(c.queue)+1))
+}
+
+// waitFor estimates how long a request would wait in the queue.
+func (c *Core) waitFor(now tiller.Millis, t *Ticket) tiller.Millis {
+	requests, work := c.ahead(t)
+
+	return max(c.waitAfter(work), c.rate.wait(now, requests+1))
 }
 
 // admit queues a request if it can meet its soft deadline or be late by little, and refuses it immediately otherwise.
 func (c *Core) admit(now tiller.Millis, t *Ticket) {
-	wait := c.waitAfter(c.workAhead(t))
+	wait := c.waitFor(now, t)
 
 	if t.demand.softDeadline > 0 && now+wait > c.latestStart(t) {
 		t.late = true
-		wait = c.waitAfter(c.workAhead(t))
+		wait = c.waitFor(now, t)
 	}
 
 	expected := tiller.Millis(c.expectedLatency(t))
@@ -179,38 +189,37 @@
 	}
 
 	if wait > maxWait {
-		c.refuse(t, tiller.ReasonOverload, "the queue is too long for the time left")
+		c.refuse(now, t, tiller.ReasonOverload, "the queue is too long for the time left")
 
 		return
 	}
 
-	c.enqueue(t)
+	c.enqueue(now, t)
 }
 
 // EstimateWait estimates how long a request would wait for a slot.
 func (c *Core) EstimateWait(now tiller.Millis, d Demand) tiller.Millis {
-	if c.HasFreeSlot() {
+	if c.HasFreeSlot(now) {
 		return 0
 	}
 
-	return c.waitAfter(c.workAhead(&Ticket{demand: d, queuedAt: now}))
+	return c.waitFor(now, &Ticket{demand: d, queuedAt: now})
 }
 
-// workAhead returns the expected work of the queued requests that would run before t, in milliseconds.
-func (c *Core) workAhead(t *Ticket) float64 {
-	work := 0.0
-
+// ahead returns the number of queued requests that would run before t, and their expected work in milliseconds.
+func (c *Core) ahead(t *Ticket) (requests int, work float64) {
 	for _, o := range c.queue {
 		if o.before(t, c.latestStart) <= 0 {
+			requests++
 			work += c.expectedLatency(o)
 		}
 	}
 
-	return work
+	return requests, work
 }
 
 // enqueue inserts a request at its position; if the queue is full, the last one is refused.
-func (c *Core) enqueue(t *Ticket) {
+func (c *Core) enqueue(now tiller.Millis, t *Ticket) {
 	i := slices.IndexFunc(c.queue, func(o *Ticket) bool { return o.before(t, c.latestStart) > 0 })
 	if i < 0 {
 		i = len(c.queue)
@@ -221,7 +230,7 @@
 	if len(c.queue) > c.options.QueueLength {
 		last := c.queue[len(c.queue)-1]
 		c.queue = c.queue[:len(c.queue)-1]
-		c.refuse(last, tiller.ReasonOverload, "the queue is full")
+		c.refuse(now, last, tiller.ReasonOverload, "the queue is full")
 	}
 }
 
@@ -293,7 +302,7 @@
 
 // Tick refuses requests that waited too long and starts others on free slots.
 func (c *Core) Tick(now tiller.Millis) {
-	for c.pruneQueue(now); c.inFlight < c.limit && len(c.queue) > 0; {
+	for c.pruneQueue(now); c.inFlight < c.limit && len(c.queue) > 0 && c.rate.available(now); {
 		t := c.queue[0]
 		c.queue = c.queue[1:]
 		c.start(now, t)
@@ -314,28 +323,33 @@
 
 	var expired []*Ticket
 
+	kept := 0
+
 	c.queue = slices.DeleteFunc(c.queue, func(t *Ticket) bool {
-		if c.expired(now, t) {
+		if c.expired(now, c.rate.wait(now, kept+1), t) {
 			expired = append(expired, t)
 
 			return true
 		}
 
+		kept++
+
 		return false
 	})
 
 	for _, t := range expired {
-		c.refuse(t, tiller.ReasonDeadline, "no slot became free in time")
+		c.refuse(now, t, tiller.ReasonDeadline, "no slot became free in time")
 	}
 }
 
-func (c *Core) expired(now tiller.Millis, t *Ticket) bool {
+// expired reports whether a waiting request can no longer be served in time, if the accepted rate lets it start after rateWait at the earliest.
+func (c *Core) expired(now, rateWait tiller.Millis, t *Ticket) bool {
 	maxWait := t.demand.deadline - t.queuedAt
 	if t.late {
 		maxWait = tiller.Millis(lateWaitShare * float64(maxWait))
 	}
 
-	return now+tiller.Millis(c.expectedLatency(t)/2) >= t.demand.deadline || now >= t.queuedAt+min(maxWait, c.options.QueueTimeout)
+	return now+rateWait+tiller.Millis(c.expectedLatency(t)/2) >= t.demand.deadline || now >= t.queuedAt+min(maxWait, c.options.QueueTimeout)
 }
 
 // Cancel removes a request from the queue and reports whether it was still waiting.
@@ -351,17 +365,19 @@
 }
 
 // RefuseAll refuses every waiting request.
-func (c *Core) RefuseAll(reason tiller.Reason, detail string) {
+func (c *Core) RefuseAll(now tiller.Millis, reason tiller.Reason, detail string) {
 	waiting := c.queue
 	c.queue = nil
 
 	for _, t := range waiting {
-		c.refuse(t, reason, detail)
+		c.refuse(now, t, reason, detail)
 	}
 }
 
 // HasFreeSlot reports whether a request would get a slot immediately.
-func (c *Core) HasFreeSlot() bool { return c.inFlight < c.limit && len(c.queue) == 0 }
+func (c *Core) HasFreeSlot(now tiller.Millis) bool {
+	return c.inFlight < c.limit && len(c.queue) == 0 && c.rate.available(now)
+}
 
 // InFlight returns the number of requests that hold a slot.
 func (c *Core) InFlight() int { return c.inFlight }
@@ -369,8 +385,8 @@
 // Waiting returns the number of requests in the queue.
 func (c *Core) Waiting() int { return len(c.queue) }
 
-// Limit returns the number of requests that may run concurrently.
-func (c *Core) Limit() int { return c.limit }
+// Limit returns the number of requests that may run concurrently, fewer if the rate that the server accepts keeps fewer running.
+func (c *Core) Limit() int { return c.rate.concurrency(c.limit, c.meanLatency) }
 
 // Shed returns the number of requests that were refused because the queue or the wait was too long, or by RefuseAll.
 func (c *Core) Shed() int64 { return c.shed }
--- a/calls/limiter/limiter.go
+++ b/calls/limiter/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 )
@@ -12,6 +13,8 @@
 	mu    sync.Mutex
 	core  *Core
 	clock tiller.Clock
+	// wakeAt is when the pending timer starts the next request that the accepted rate holds back, zero if there is none.
+	wakeAt tiller.Millis
 }
 
 // New returns a limiter that wraps the given core.
@@ -31,6 +34,7 @@
 
 	l.mu.Lock()
 	ticket := l.core.Acquire(l.clock.Now(), d, func(err *tiller.CallError) { granted <- err })
+	l.schedule()
 	l.mu.Unlock()
 
 	select {
@@ -64,6 +68,7 @@
 	defer s.limiter.mu.Unlock()
 
 	s.limiter.core.Release(s.limiter.clock.Now(), s.ticket, outcome)
+	s.limiter.schedule()
 }
 
 // WithCore calls f with the core while holding the lock.
@@ -72,6 +77,29 @@
 	defer l.mu.Unlock()
 
 	f(l.core)
+	l.schedule()
+}
+
+// schedule sets a timer for the next request that only the accepted rate holds back, since no other event may occur by then.
+func (l *Limiter) schedule() {
+	at, ok := l.core.NextStart(l.clock.Now()).Get()
+	if !ok || (l.wakeAt > 0 && l.wakeAt <= at) {
+		return
+	}
+
+	l.wakeAt = at
+	time.AfterFunc(max(at-l.clock.Now(), 1).Duration(), func() { l.wake(at) })
+}
+
+// wake starts waiting requests; a later timer may have replaced this one.
+func (l *Limiter) wake(at tiller.Millis) {
+	l.WithCore(func(c *Core) {
+		if l.wakeAt == at {
+			l.wakeAt = 0
+		}
+
+		c.Tick(l.clock.Now())
+	})
 }
 
 // Tick refuses requests that waited too long and starts others on free slots.
@@ -84,7 +112,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return l.core.HasFreeSlot()
+	return l.core.HasFreeSlot(l.clock.Now())
 }
 
 // EstimateWait estimates how long a request would wait for a slot.
@@ -102,3 +130,11 @@
 
 	return l.core.InFlight() + l.core.Waiting(), l.core.Limit(), l.core.MeanLatency()
 }
+
+// Rate returns the rate limit in force, none if requests are not held back.
+func (l *Limiter) Rate() tiller.Option[tiller.Rate] {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.core.Rate()
+}
--- a/calls/limiter/limiter_test.go
+++ b/calls/limiter/limiter_test.go
@@ -157,7 +157,7 @@
 				b.offer(tiller.ClassInteractive, 1000, 100)
 			}
 
-			b.core.RefuseAll(tiller.ReasonDraining, "leaving")
+			b.core.RefuseAll(b.now, tiller.ReasonDraining, "leaving")
 		}, tiller.ReasonDraining, 2},
 	}
 
--- a/dialect.go
+++ b/dialect.go
@@ -107,6 +107,24 @@
 	AnswerDamaged
 )
 
+// ServerNotice is what a backend server states about itself in an answer.
+type ServerNotice struct {
+	rateLimit Option[Rate]
+	err       error
+}
+
+// NewServerNotice returns a notice with the request rate that the server accepts, none if it states none. The error describes a statement that
+// cannot be read.
+func NewServerNotice(rateLimit Option[Rate], err error) ServerNotice {
+	return ServerNotice{rateLimit: rateLimit, err: err}
+}
+
+// RateLimit returns the request rate that the server accepts from all callers together, none if it states none.
+func (n ServerNotice) RateLimit() Option[Rate] { return n.rateLimit }
+
+// Err describes a statement that cannot be read, nil if there is none.
+func (n ServerNotice) Err() error { return n.err }
+
 // ServedBy describes to a caller how its call was served.
 type ServedBy struct {
 	verdict  Verdict
@@ -180,6 +198,8 @@
 	Identifies(h http.Header, terms BackendTerms) bool
 	// Classify returns the kind of a backend server's answer.
 	Classify(status int, h http.Header) AnswerKind
+	// Notice reads what a backend server states about itself in an answer of any kind.
+	Notice(h http.Header) ServerNotice
 	// SetServedBy sets the headers that describe to a caller how its call was served.
 	SetServedBy(h http.Header, served ServedBy)
 	// FormatRefusal formats the response to a refused or failed call.
--- a/event.go
+++ b/event.go
@@ -45,6 +45,7 @@
 	EventCampaign
 	EventVoted
 	EventJoinRequested
+	EventRateLimited
 )
 
 // Event is one entry of the timeline; the recorder adds the time and the process.
--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -264,5 +264,14 @@
 // Address returns where the server listens, empty before the first announcement.
 func (c *Core) Address() tiller.Address { return tiller.Address(c.current.Address) }
 
+// Start identifies the latest announced start of the server, empty if it reported no instance. A server may keep its instance when it restarts.
+func (c *Core) Start() string {
+	if c.current.Instance == "" {
+		return ""
+	}
+
+	return fmt.Sprintf("%s@%d", c.current.Instance, c.current.StartedAtMs)
+}
+
 // Instance returns the latest announced start of the server, empty if not reported.
 func (c *Core) Instance() string { return c.current.Instance }
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -134,7 +134,7 @@
 		address = tiller.Address(s.settings.BackendAddress)
 	}
 
-	return forwarder.NewTarget(address, s.registrar.Instance(), state)
+	return forwarder.NewTarget(address, s.registrar.Instance(), state).WithStart(s.registrar.Start())
 }
 
 // ReportRefused records that the backend server's port refused a connection.
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -270,6 +270,7 @@
 	connections := minBound(backend.Connections, s.core.Document().MaxConnections(tiller.Service(s.settings.Service)))
 
 	s.limiter.WithCore(func(c *limiter.Core) {
+		c.BeginStart(s.registrar.Start())
 		c.Configure(limiter.Options{
 			Slots: backend.Slots, Connections: connections,
 			QueueLength: int(own.Value(tiller.SettingQueueLength)), QueueTimeout: own.Millis(tiller.SettingQueueTimeoutMs),
