Withdraw a backend server that states in its answers that it leaves

Callers could see late failures: a server that is about to end went on getting requests until its announcement came.

Cause: what a server states in its answers was not read, so that a late or lost announcement was the only way to learn that it leaves, and a node that restarted forgot it.

Change: the server's node reads the statement from answers of every kind, undamaged ones only, and treats it as a withdrawal of that start. Senders state it in their attempts, as the rate, and a node that has restarted then refuses at once.

--- a/calls/balancer/observation.go
+++ b/calls/balancer/observation.go
@@ -31,8 +31,8 @@
 	ejectedUntil        tiller.Millis
 	unreachableUntil    tiller.Millis
 	unreachableBackoff  tiller.Millis
-	// rate is the request rate that a start of the worker's backend server accepts.
-	rate RateLimit
+	// server is what the worker's node has reported of its backend server.
+	server ServerState
 	// noResponseSince is when the last request ended or, if later, when one was sent to the idle worker.
 	noResponseSince tiller.Millis
 }
@@ -108,39 +108,6 @@
 	}
 }
 
-// RateLimit is the request rate that one start of a worker's backend server accepts.
-type RateLimit struct {
-	start string
-	rate  tiller.Option[tiller.Rate]
-}
-
-// NewRateLimit returns the rate that a start of a backend server accepts, none if it states none.
-func NewRateLimit(start string, rate tiller.Option[tiller.Rate]) RateLimit {
-	return RateLimit{start: start, rate: rate}
-}
-
-// Start identifies the start of the backend server, empty if nothing is known.
-func (l RateLimit) Start() string { return l.start }
-
-// Rate returns the accepted rate, none for no limit.
-func (l RateLimit) Rate() tiller.Option[tiller.Rate] { return l.rate }
-
-// RecordRateLimit records the rate that a worker's node has reported.
-func (b *Balancer) RecordRateLimit(w tiller.Worker, l RateLimit) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	b.observationOf(w).rate = l
-}
-
-// RateLimit returns the rate that a worker's node has reported last.
-func (b *Balancer) RateLimit(w tiller.Worker) RateLimit {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	return b.observationOf(w).rate
-}
-
 // RecordHopOverhead records the time that a request to another worker took in addition to its queue and its server.
 func (b *Balancer) RecordHopOverhead(overhead tiller.Millis) {
 	b.mu.Lock()
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -194,7 +194,7 @@
 
 	began := f.Clock.Now()
 	header := q.hopHeader(began, backend, f.returnMargin(q, began))
-	setRateLimit(header, f.Balancer.RateLimit(backend.Worker()))
+	setServerState(header, f.Balancer.ServerState(backend.Worker()))
 
 	done := measure(f.stages.hop)
 	x, failed := f.NodeExchanger.Do(ctx, exchanger.Request{
@@ -217,7 +217,7 @@
 	f.Balancer.RecordLoad(f.Clock.Now(), backend.Worker(), balancer.NewLoad(
 		int(headerInt(h, HeaderLoad, 0)), int(headerInt(h, HeaderLimit, 1)), tiller.Millis(headerInt(h, HeaderMeanLatency, 0))))
 
-	f.recordRate(backend.Worker(), h)
+	f.recordServerState(backend.Worker(), h)
 
 	answer, err = f.checkHop(q, answer, backend.Worker())
 	if err == nil && answer.ran > 0 {
--- a/calls/forwarder/dialect.go
+++ b/calls/forwarder/dialect.go
@@ -53,9 +53,9 @@
 	return tiller.AnswerServed
 }
 
-// Notice reads the request rate that a backend server accepts.
+// Notice reads the request rate that a backend server accepts, and whether it is leaving.
 func (Dialect) Notice(h http.Header) tiller.ServerNotice {
-	return tiller.NewServerNotice(tiller.ParseRate(h[HeaderServerLimit]))
+	return tiller.NewServerNotice(tiller.ParseRate(h[HeaderServerLimit])).WithLeaving(h.Get(HeaderServerLeaving) == "true")
 }
 
 // SetServedBy sets the headers that report to the caller how its call was served.
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -44,6 +44,7 @@
 	instance string
 	state    wire.BackendState
 	start    string
+	leaving  bool
 }
 
 // NewTarget returns a target with the address a backend server listens on, the instance (one per start) and its state.
@@ -58,12 +59,22 @@
 	return t
 }
 
+// WithLeaving returns a copy that also says whether the server is leaving; it may still accept requests for a while.
+func (t Target) WithLeaving(leaving bool) Target {
+	t.leaving = leaving
+
+	return t
+}
+
 // BackendServer gives access to the backend server on this VM.
 type BackendServer interface {
 	// Target returns the current address, instance and state of the server.
 	Target() Target
 	// ReportRefused records that the server's port refused a connection.
 	ReportRefused()
+	// ReportLeaving records that a start of the server is leaving. If learnt is set, a peer has known for a while, and the server gets no
+	// further requests at once.
+	ReportLeaving(start string, learnt bool)
 }
 
 // Options holds the dependencies and settings of a Forwarder.
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -50,10 +50,23 @@
 	crashReports []crashReport
 	refused      atomic.Int64
 	kinds        []tiller.EventKind
+	leaving      atomic.Bool
 }
 
 func (n *fakeNode) Target() forwarder.Target {
-	return forwarder.NewTarget(tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), "", n.state).WithStart(n.start)
+	state := n.state
+	if n.leaving.Load() {
+		state = wire.BackendState_BACKEND_STATE_DRAINING
+	}
+
+	return forwarder.NewTarget(tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), "", state).WithStart(n.start).WithLeaving(n.leaving.Load())
+}
+
+// ReportLeaving makes the node refuse requests from then on, as after the linger.
+func (n *fakeNode) ReportLeaving(start string, _ bool) {
+	if start == n.start {
+		n.leaving.Store(true)
+	}
 }
 
 func (n *fakeNode) ReportRefused() { n.refused.Add(1) }
--- a/calls/forwarder/header.go
+++ b/calls/forwarder/header.go
@@ -26,6 +26,8 @@
 	// HeaderServerLimit carries the requests a second that a backend server accepts from all callers together, a decimal number; part of its
 	// answers for as long as the limit holds.
 	HeaderServerLimit = "Tiller-Server-Limit"
+	// HeaderServerLeaving is "true" on the answers of a backend server that is leaving.
+	HeaderServerLeaving = "Tiller-Server-Leaving"
 	// HeaderVerdict states on every answer whether the request ran, may have run or did not run.
 	HeaderVerdict = "Tiller-Verdict"
 	// HeaderReason states why a request was refused.
@@ -64,11 +66,13 @@
 	// HeaderMeanLatency carries the mean latency of requests at the worker plus the wait for its VM's link, in milliseconds; part of the
 	// answer.
 	HeaderMeanLatency = "Tiller-Pace-Ms"
-	// HeaderStart identifies the start of the backend server that HeaderRate is about, in both directions.
+	// HeaderStart identifies the start of the backend server that HeaderRate and HeaderLeaving are about. All three are sent in both
+	// directions, so that a node which restarts beside its server learns from the first attempt what the server has stated.
 	HeaderStart = "Tiller-Start"
-	// HeaderRate carries the requests a second that this start of the backend server accepts, absent for no limit; in both directions, so that
-	// a node which restarts beside its server learns of the limit from the first attempt.
+	// HeaderRate carries the requests a second that this start accepts, absent for no limit.
 	HeaderRate = "Tiller-Rate"
+	// HeaderLeaving marks a start that is leaving.
+	HeaderLeaving = "Tiller-Leaving"
 	// HeaderQueue carries the time that a request waited for a slot in milliseconds, absent for none; part of the answer.
 	HeaderQueue = "Tiller-Queue-Ms"
 	// HeaderRun carries the time that a request ran on the backend server in milliseconds, absent for none; part of the answer.
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -24,7 +24,7 @@
 		return
 	}
 
-	f.learnRate(r.Header)
+	f.learnServerState(r.Header)
 
 	ctx, cancel := context.WithTimeout(r.Context(), (q.deadline - f.Clock.Now()).Duration())
 	defer cancel()
@@ -56,7 +56,7 @@
 	setInt(h, HeaderLimit, int64(limit))
 	setInt(h, HeaderMeanLatency, int64(meanLatency+f.linkWait()))
 
-	f.reportRate(h, r.Header.Get(HeaderStart) != "")
+	f.reportServerState(h, r.Header.Get(HeaderStart) != "")
 
 	if a.queued > 0 {
 		setInt(h, HeaderQueue, int64(a.queued))
--- a/calls/forwarder/notice.go
+++ b/calls/forwarder/notice.go
@@ -21,10 +21,15 @@
 		f.Log.Info("statement of the backend server ignored", "start", target.start, "error", err.Error())
 	}
 
+	kind := f.Dialect.Classify(status, h)
+	if notice.Leaving() && kind != tiller.AnswerDamaged {
+		f.BackendServer.ReportLeaving(target.start, false)
+	}
+
 	now := f.Clock.Now()
 	statement := limiter.RateStatement{
 		Start: target.start, SentAt: sentAt, Rate: notice.RateLimit(),
-		Silent: notice.Err() == nil && f.Dialect.Classify(status, h) == tiller.AnswerServed,
+		Silent: notice.Err() == nil && kind == tiller.AnswerServed,
 	}
 
 	f.updateRate("the backend server", func(c *limiter.Core) bool { return c.ObserveRate(now, statement) })
@@ -73,56 +78,64 @@
 	f.Recorder.Record(tiller.NewEvent(tiller.EventRateLimited, detail, tiller.WithCause(source)))
 }
 
-// setRateLimit adds a rate limit to the headers of an attempt or its answer, if it is about a known start.
-func setRateLimit(h http.Header, l balancer.RateLimit) {
-	if l.Start() == "" {
+// setServerState adds the state of a backend server to the headers of an attempt or its answer, if it is about a known start.
+func setServerState(h http.Header, s balancer.ServerState) {
+	if s.Start() == "" {
 		return
 	}
 
-	h.Set(HeaderStart, l.Start())
+	h.Set(HeaderStart, s.Start())
 
-	if rate, limited := l.Rate().Get(); limited {
+	if rate, limited := s.Rate().Get(); limited {
 		h.Set(HeaderRate, rate.String())
 	}
+
+	if s.Leaving() {
+		h.Set(HeaderLeaving, "true")
+	}
 }
 
-// parseRateLimit returns the rate limit in the headers of an attempt or its answer. A rate that cannot be read counts as none.
-func parseRateLimit(h http.Header) balancer.RateLimit {
+// parseServerState returns the state in the headers of an attempt or its answer. A rate that cannot be read counts as none.
+func parseServerState(h http.Header) balancer.ServerState {
 	rate, err := tiller.ParseRate(h[HeaderRate])
 	if err != nil {
 		rate = tiller.None[tiller.Rate]()
 	}
 
-	return balancer.NewRateLimit(h.Get(HeaderStart), rate)
+	return balancer.NewServerState(h.Get(HeaderStart), rate, h.Get(HeaderLeaving) != "")
 }
 
-// reportRate adds the rate limit of the backend server to the answer to another node. Without a limit the headers are left out, unless the
-// other node has stated one.
-func (f *Forwarder) reportRate(h http.Header, asked bool) {
-	rate := f.Limiter.Rate()
+// reportServerState adds what the backend server states to the answer to another node. If that is nothing, the headers are left out, unless the
+// other node believes otherwise.
+func (f *Forwarder) reportServerState(h http.Header, asked bool) {
+	target, rate := f.BackendServer.Target(), f.Limiter.Rate()
 
-	if _, limited := rate.Get(); limited || asked {
-		setRateLimit(h, balancer.NewRateLimit(f.BackendServer.Target().start, rate))
+	if _, limited := rate.Get(); limited || target.leaving || asked {
+		setServerState(h, balancer.NewServerState(target.start, rate, target.leaving))
 	}
 }
 
-// recordRate records the rate limit in the answer of another node.
-func (f *Forwarder) recordRate(worker tiller.Worker, h http.Header) {
-	if l := parseRateLimit(h); l.Start() != "" {
-		f.Balancer.RecordRateLimit(worker, l)
+// recordServerState records what the answer of another node says of its backend server.
+func (f *Forwarder) recordServerState(worker tiller.Worker, h http.Header) {
+	if s := parseServerState(h); s.Start() != "" {
+		f.Balancer.RecordServerState(worker, s)
 	}
 }
 
-// learnRate applies the rate limit that the sender of an attempt knows of this worker's backend server.
-func (f *Forwarder) learnRate(h http.Header) {
-	l := parseRateLimit(h)
-	rate, limited := l.Rate().Get()
-
-	if !limited || l.Start() != f.BackendServer.Target().start {
+// learnServerState applies what the sender of an attempt knows of this worker's backend server.
+func (f *Forwarder) learnServerState(h http.Header) {
+	s := parseServerState(h)
+	if s.Start() == "" || s.Start() != f.BackendServer.Target().start {
 		return
 	}
 
-	now := f.Clock.Now()
+	if s.Leaving() {
+		f.BackendServer.ReportLeaving(s.Start(), true)
+	}
 
-	f.updateRate("the sender of an attempt", func(c *limiter.Core) bool { return c.LearnRate(now, l.Start(), rate) })
+	if rate, limited := s.Rate().Get(); limited {
+		now := f.Clock.Now()
+
+		f.updateRate("the sender of an attempt", func(c *limiter.Core) bool { return c.LearnRate(now, s.Start(), rate) })
+	}
 }
--- a/calls/forwarder/notice_test.go
+++ b/calls/forwarder/notice_test.go
@@ -119,6 +119,62 @@
 	}
 }
 
+// TestServerThatSaysItLeavesGetsNoFurtherRequests guards against requests to a server whose announcement comes late or never.
+func TestServerThatSaysItLeavesGetsNoFurtherRequests(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		handle http.HandlerFunc
+		value  string
+		leaves bool
+	}{
+		{"in a success", ok, "true", true},
+		{"in a failure", fail, "true", true},
+		{"in a refusal", shed, "true", true},
+		{"another value", ok, "no", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			leaving := func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(forwarder.HeaderServerLeaving, tc.value)
+				tc.handle(w, r)
+			}
+			nodes := newNodes(t, leaving, ok)
+
+			for range 30 {
+				send(t, nodes[0], http.MethodPut, "/calls/1", "", "")
+			}
+
+			if tc.leaves {
+				require.Equal(t, int64(1), nodes[0].backend.runs.Load())
+			} else {
+				require.Greater(t, nodes[0].backend.runs.Load(), int64(1))
+			}
+		})
+	}
+}
+
+// TestNodeThatRestartsLearnsThatItsServerLeaves guards against a server that had left and is in use again after its node restarted.
+func TestNodeThatRestartsLearnsThatItsServerLeaves(t *testing.T) {
+	nodes := newNodes(t, ok, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(forwarder.HeaderServerLeaving, "true")
+		ok(w, r)
+	})
+	nodes[0].state = wire.BackendState_BACKEND_STATE_NONE
+	nodes[1].start = "i-1@100"
+
+	require.Equal(t, http.StatusOK, send(t, nodes[0], http.MethodGet, "/calls/1", "", "").status)
+	require.True(t, nodes[1].leaving.Load())
+
+	nodes[1].leaving.Store(false)
+	require.Equal(t, http.StatusServiceUnavailable, send(t, nodes[0], http.MethodGet, "/calls/1", "", "").status)
+	require.Equal(t, int64(1), nodes[1].backend.runs.Load(), "the node that restarted refuses at once")
+
+	nodes[1].leaving.Store(false)
+
+	nodes[1].start = "i-1@200"
+	nodes[1].backend.handle = ok
+	require.Equal(t, http.StatusOK, send(t, nodes[0], http.MethodGet, "/calls/1", "", "").status, "the server has restarted under its id")
+}
+
 // TestNodeThatRestartsLearnsTheRateFromAttempts guards against a burst at a server whose node has restarted and not yet had an answer.
 func TestNodeThatRestartsLearnsTheRateFromAttempts(t *testing.T) {
 	nodes := newNodes(t, ok, stating("1000", ok))
--- a/dialect.go
+++ b/dialect.go
@@ -110,6 +110,7 @@
 // ServerNotice is what a backend server states about itself in an answer.
 type ServerNotice struct {
 	rateLimit Option[Rate]
+	leaving   bool
 	err       error
 }
 
@@ -122,6 +123,16 @@
 // RateLimit returns the request rate that the server accepts from all callers together, none if it states none.
 func (n ServerNotice) RateLimit() Option[Rate] { return n.rateLimit }
 
+// WithLeaving returns a copy that also says whether the server is leaving.
+func (n ServerNotice) WithLeaving(leaving bool) ServerNotice {
+	n.leaving = leaving
+
+	return n
+}
+
+// Leaving reports whether the server states that it is leaving and wants no further requests.
+func (n ServerNotice) Leaving() bool { return n.leaving }
+
 // Err describes a statement that cannot be read, nil if there is none.
 func (n ServerNotice) Err() error { return n.err }
 
--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// Leave withdraws a start of the server that states in an answer that it is leaving, and reports whether that is news. If learnt is set, a peer
+// has known for a while, and the server gets no further requests at once.
+func (c *Core) Leave(now tiller.Millis, start string, learnt bool) bool {
+	if start != c.Start() || c.state == wire.BackendState_BACKEND_STATE_NONE {
+		return false
+	}
+
+	news := c.state != wire.BackendState_BACKEND_STATE_DRAINING
+	c.Withdraw(now, c.current.Instance, c.current.StartedAtMs)
+
+	if news && learnt {
+		c.drainingSince = now - c.drainLinger
+	}
+
+	return news
+}
+
+// Leaving reports whether the server is draining or was withdrawn.
+func (c *Core) Leaving() bool { return c.state == wire.BackendState_BACKEND_STATE_DRAINING }
+
 func (c *Core) rememberWithdrawn(instance string, startedAtMs int64) {
 	if _, known := c.withdrawn[instance]; !known {
 		c.withdrawnOrder = append(c.withdrawnOrder, instance)
--- a/membership/registrar/registrar_test.go
+++ b/membership/registrar/registrar_test.go
@@ -109,6 +109,20 @@
 			c.Withdraw(20, "a", 0)
 			c.Announce(30, announcement("a", 101, 1, "ready"))
 		}, "a", ready},
+		{"late announcement after an answer said that the server leaves", func(c *registrar.Core) {
+			c.Announce(10, announcement("a", 100, 1, "ready"))
+			c.Leave(20, "a@100", false)
+			c.Announce(30, announcement("a", 100, 2, "ready"))
+		}, "a", draining},
+		{"answer of an earlier start under the same id says that it leaves", func(c *registrar.Core) {
+			c.Announce(10, announcement("a", 300, 1, "ready"))
+			c.Leave(20, "a@100", false)
+		}, "a", ready},
+		{"later start under the same id after one that leaves", func(c *registrar.Core) {
+			c.Announce(10, announcement("a", 100, 1, "ready"))
+			c.Leave(20, "a@100", false)
+			c.Announce(30, announcement("a", 101, 1, "ready"))
+		}, "a", ready},
 		{"withdrawal of an unknown server before its announcement", func(c *registrar.Core) {
 			c.Withdraw(20, "a", 100)
 			c.Announce(30, announcement("a", 100, 1, "ready"))
@@ -145,6 +159,29 @@
 	require.False(t, c.Accepts(600), "a repeated announcement does not restart the linger")
 }
 
+func TestServerThatSaysItLeaves(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		learnt bool
+	}{
+		{"its own answer begins the linger", false},
+		{"what a peer has known for long leaves no linger", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := registrar.New("board", registrar.WithDrainLinger(500))
+			require.False(t, c.Leave(0, "", tc.learnt), "no server is known")
+			c.Announce(0, announcement("a", 100, 1, "ready"))
+			require.False(t, c.Leaving())
+			require.True(t, c.Leave(1000, c.Start(), tc.learnt))
+			require.False(t, c.Leave(1100, c.Start(), tc.learnt), "no news")
+			require.True(t, c.Leaving())
+			require.Equal(t, !tc.learnt, c.Accepts(1499))
+			require.False(t, c.Accepts(1500))
+			require.Equal(t, wire.BackendState_BACKEND_STATE_DRAINING, c.Backend(1500).State)
+		})
+	}
+}
+
 func TestRefusedConnectionWithoutAnnouncements(t *testing.T) {
 	c := registrar.New("board", registrar.WithLease(10_000))
 	c.Announce(0, announcement("a", 100, 1, "ready"))
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -134,7 +134,7 @@
 		address = tiller.Address(s.settings.BackendAddress)
 	}
 
-	return forwarder.NewTarget(address, s.registrar.Instance(), state).WithStart(s.registrar.Start())
+	return forwarder.NewTarget(address, s.registrar.Instance(), state).WithStart(s.registrar.Start()).WithLeaving(s.registrar.Leaving())
 }
 
 // ReportRefused records that the backend server's port refused a connection.
@@ -146,6 +146,20 @@
 	s.mu.Unlock()
 }
 
+// ReportLeaving records that a start of the backend server is leaving and tells the peers.
+func (a *backendServerAdapter) ReportLeaving(start string, learnt bool) {
+	s := (*Server)(a)
+
+	s.mu.Lock()
+	news := s.registrar.Leave(s.clock.Now(), start, learnt)
+	s.mu.Unlock()
+
+	if news {
+		s.options.Log.Info("backend server states that it is leaving", "start", start, "learnt_from_peer", learnt)
+		s.tick()
+	}
+}
+
 const maxAnnouncementBytes = 16 << 10
 
 type announceReply struct {
