--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -59,7 +59,9 @@
 		state = wire.BackendState_BACKEND_STATE_DRAINING
 	}
 
-	return forwarder.NewTarget(tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://")), "", state).WithStart(n.start).WithLeaving(n.leaving.Load())
+	address := tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://"))
+
+	return forwarder.NewTarget(address, "", state).WithStart(n.start).WithLeaving(n.leaving.Load())
 }
 
 // ReportLeaving makes the node refuse requests from then on, as after the linger.
--- a/calls/limiter/rate_test.go
+++ b/calls/limiter/rate_test.go
@@ -35,9 +35,9 @@
 	return b
 }
 
-// state delivers an answer to a request that was sent now.
-func (b *rateBench) state(rate tiller.Option[tiller.Rate], silent bool) bool {
-	return b.core.ObserveRate(b.now, limiter.RateStatement{Start: rateStart, SentAt: b.now, Rate: rate, Silent: silent})
+// state delivers an answer that states a rate and reports whether the limit has changed.
+func (b *rateBench) state(rate tiller.Rate) bool {
+	return b.core.ObserveRate(b.now, limiter.RateStatement{Start: rateStart, SentAt: b.now, Rate: tiller.Some(rate)})
 }
 
 // run offers the given number of requests a second, each with a deadline in 1 to 2 s.
@@ -108,7 +108,7 @@
 			b.run(3*tiller.Second, 100)
 
 			since := b.now
-			require.True(t, b.state(tiller.Some(rate), false))
+			require.True(t, b.state(rate))
 			b.run(span, 100)
 
 			perWindow, total := b.most(since)
@@ -127,7 +127,7 @@
 
 func TestRateThatIsFarAboveTheLoadHoldsNothingBack(t *testing.T) {
 	b := newRateBench()
-	b.state(tiller.Some[tiller.Rate](1e300), false)
+	b.state(1e300)
 	b.run(5*tiller.Second, 100)
 	require.Empty(t, b.refused)
 	require.Equal(t, tiller.None[tiller.Rate](), b.core.Rate())
@@ -135,12 +135,12 @@
 
 func TestRateChangesWhileRequestsWait(t *testing.T) {
 	b := newRateBench()
-	b.state(tiller.Some[tiller.Rate](20), false)
+	b.state(20)
 	b.run(3*tiller.Second, 60)
 	require.NotZero(t, b.core.Waiting())
 
 	since := b.now
-	require.True(t, b.state(tiller.Some[tiller.Rate](2), false))
+	require.True(t, b.state(2))
 	require.LessOrEqual(t, b.core.Waiting(), 4, "requests that cannot start in time any more are refused at once")
 	b.run(8*tiller.Second, 60)
 
@@ -148,7 +148,7 @@
 	require.LessOrEqual(t, perWindow, 9)
 
 	since = b.now
-	require.True(t, b.state(tiller.Some[tiller.Rate](40), false))
+	require.True(t, b.state(40))
 	b.run(8*tiller.Second, 60)
 
 	_, total := b.most(since)
@@ -195,7 +195,7 @@
 
 func TestNoWaitAttemptIsRefusedBeyondTheRate(t *testing.T) {
 	b := newRateBench()
-	b.state(tiller.Some[tiller.Rate](5), false)
+	b.state(5)
 
 	var refused *tiller.CallError
 
@@ -206,7 +206,7 @@
 
 func TestUrgentRequestsComeFirstWithinTheRate(t *testing.T) {
 	b := newRateBench()
-	b.state(tiller.Some[tiller.Rate](10), false)
+	b.state(10)
 
 	var order []int
 
@@ -226,7 +226,7 @@
 	b := newRateBench()
 	b.run(tiller.Second, 50)
 	require.Equal(t, 9, b.core.Limit())
-	b.state(tiller.Some[tiller.Rate](30), false)
+	b.state(30)
 	require.Equal(t, 2, b.core.Limit(), "30 requests a second of 60 ms each")
 }
 
