State nothing about a server that restricts nothing

Cause: a sender that once heard of a rate limit or of leaving went on stating the server's start, and the node answered with it, for as long as both ran: some 60 bytes a call on narrow links. A rate above all limits counted as a change each time, and the gauge of the rate kept the value of a server that had restarted.

Change: a state is sent only while it restricts, or answers an attempt that stated one; a change is one of the limit in force; the gauge reads the limiter; the end by another start is an event.

The tests of limiter and forwarder check gauge and change and pass.

--- a/calls/balancer/serverstate.go
+++ b/calls/balancer/serverstate.go
@@ -24,6 +24,13 @@
 // Leaving reports whether the start is leaving.
 func (s ServerState) Leaving() bool { return s.leaving }
 
+// Restricts reports whether the start has stated anything that holds requests back.
+func (s ServerState) Restricts() bool {
+	_, limited := s.rate.Get()
+
+	return limited || s.leaving
+}
+
 // RecordServerState records the state of a backend server that its worker's node has reported.
 func (b *Balancer) RecordServerState(w tiller.Worker, s ServerState) {
 	b.mu.Lock()
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -194,7 +194,7 @@
 
 	began := f.Clock.Now()
 	header := q.hopHeader(began, backend, f.returnMargin(q, began))
-	setServerState(header, f.Balancer.ServerState(backend.Worker()))
+	setServerState(header, f.Balancer.ServerState(backend.Worker()), false)
 
 	done := measure(f.stages.hop)
 	x, failed := f.NodeExchanger.Do(ctx, exchanger.Request{
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -119,7 +119,6 @@
 	served     metrics.Counter
 	refused    metrics.Counter
 	retried    metrics.Counter
-	rateLimit  metrics.GaugeFloat64
 	stages     stages
 	log        callLog
 	maxWaits   *maxWaits
@@ -132,13 +131,16 @@
 
 // New returns a Forwarder that registers its metrics in Options.Metrics.
 func New(options Options) *Forwarder {
+	metrics.NewRegisteredFunctionalGaugeFloat64("calls.rate_limit", options.Metrics, func() float64 {
+		return float64(options.Limiter.Rate().OrElse(0))
+	})
+
 	return &Forwarder{
 		Options:   options,
 		latency:   metrics.GetOrRegisterTimer("calls.latency", options.Metrics),
 		served:    metrics.GetOrRegisterCounter("calls.served", options.Metrics),
 		refused:   metrics.GetOrRegisterCounter("calls.refused", options.Metrics),
 		retried:   metrics.GetOrRegisterCounter("calls.retried", options.Metrics),
-		rateLimit: metrics.GetOrRegisterGaugeFloat64("calls.rate_limit", options.Metrics),
 		stages:    newStages(options.Metrics),
 		maxWaits:  newMaxWaits(),
 		freeShare: &freeShare{share: 1},
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -298,3 +298,13 @@
 		body: string(data), header: resp.Header,
 	}
 }
+
+// rateGauge returns the rate limit in the node's metrics.
+func (n *fakeNode) rateGauge() float64 {
+	gauge, ok := n.forward.Metrics.Get("calls.rate_limit").(metrics.GaugeFloat64)
+	if !ok {
+		return -1
+	}
+
+	return gauge.Value()
+}
--- a/calls/forwarder/notice.go
+++ b/calls/forwarder/notice.go
@@ -48,7 +48,6 @@
 	})
 
 	if changed {
-		f.rateLimit.Update(float64(rate.OrElse(0)))
 		f.recordRateEvent(rate, source)
 	}
 }
@@ -78,9 +77,10 @@
 	f.Recorder.Record(tiller.NewEvent(tiller.EventRateLimited, detail, tiller.WithCause(source)))
 }
 
-// setServerState adds the state of a backend server to the headers of an attempt or its answer, if it is about a known start.
-func setServerState(h http.Header, s balancer.ServerState) {
-	if s.Start() == "" {
+// setServerState adds the state of a backend server to the headers of an attempt or its answer, if it is about a known start. A state that
+// restricts nothing is left out, unless it answers the question of an attempt.
+func setServerState(h http.Header, s balancer.ServerState, asked bool) {
+	if s.Start() == "" || (!asked && !s.Restricts()) {
 		return
 	}
 
@@ -105,14 +105,10 @@
 	return balancer.NewServerState(h.Get(HeaderStart), rate, h.Get(HeaderLeaving) != "")
 }
 
-// reportServerState adds what the backend server states to the answer to another node. If that is nothing, the headers are left out, unless the
-// other node believes otherwise.
+// reportServerState adds what the backend server states to the answer to another node. Asked is set if the attempt stated something.
 func (f *Forwarder) reportServerState(h http.Header, asked bool) {
-	target, rate := f.BackendServer.Target(), f.Limiter.Rate()
-
-	if _, limited := rate.Get(); limited || target.leaving || asked {
-		setServerState(h, balancer.NewServerState(target.start, rate, target.leaving))
-	}
+	target := f.BackendServer.Target()
+	setServerState(h, balancer.NewServerState(target.start, f.Limiter.Rate(), target.leaving), asked)
 }
 
 // recordServerState records what the answer of another node says of its backend server.
--- a/calls/forwarder/notice_test.go
+++ b/calls/forwarder/notice_test.go
@@ -184,6 +184,7 @@
 	a := send(t, nodes[0], http.MethodGet, "/calls/1", "", "")
 	require.Equal(t, http.StatusOK, a.status)
 	require.Empty(t, a.header.Get(forwarder.HeaderRate), "not for callers")
+	require.Equal(t, float64(1000), nodes[1].rateGauge())
 
 	restart := func() {
 		options := limiter.Options{Slots: 32, QueueLength: 4, QueueTimeout: tiller.Second}
--- a/calls/limiter/rate.go
+++ b/calls/limiter/rate.go
@@ -81,7 +81,7 @@
 func (l *rateLimit) set(now tiller.Millis, rate tiller.Rate) bool {
 	rate = max(rate, minRate)
 
-	if l.limited && l.rate == rate {
+	if l.limited == (rate < maxRate) && (!l.limited || l.rate == rate) {
 		return false
 	}
 
@@ -163,8 +163,8 @@
 	return c.rate.set(now, rate)
 }
 
-// BeginStart ends the limit that an earlier start of the server has stated.
-func (c *Core) BeginStart(start string) { c.rate.begin(start) }
+// BeginStart ends the limit that an earlier start of the server has stated, and reports whether there was one.
+func (c *Core) BeginStart(start string) bool { return c.rate.begin(start) }
 
 // Rate returns the rate limit in force, none if requests are not held back.
 func (c *Core) Rate() tiller.Option[tiller.Rate] {
--- a/calls/limiter/rate_test.go
+++ b/calls/limiter/rate_test.go
@@ -127,7 +127,7 @@
 
 func TestRateThatIsFarAboveTheLoadHoldsNothingBack(t *testing.T) {
 	b := newRateBench()
-	b.state(1e300)
+	require.False(t, b.state(1e300), "no limit, so nothing changes")
 	b.run(5*tiller.Second, 100)
 	require.Empty(t, b.refused)
 	require.Equal(t, tiller.None[tiller.Rate](), b.core.Rate())
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -270,7 +270,10 @@
 	connections := minBound(backend.Connections, s.core.Document().MaxConnections(tiller.Service(s.settings.Service)))
 
 	s.limiter.WithCore(func(c *limiter.Core) {
-		c.BeginStart(s.registrar.Start())
+		if c.BeginStart(s.registrar.Start()) {
+			s.ring.Record(tiller.NewEvent(tiller.EventRateLimited, "no rate limit any more", tiller.WithCause("another start of the backend server")))
+		}
+
 		c.Configure(limiter.Options{
 			Slots: backend.Slots, Connections: connections,
 			QueueLength: int(own.Value(tiller.SettingQueueLength)), QueueTimeout: own.Millis(tiller.SettingQueueTimeoutMs),
