--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -35,7 +35,9 @@
 	address string
 	core    *controller.Core
 	disk    replicator.RestoredState
-	up      bool
+	// lostDisks is how many disks the controller has lost; each has an identity of its own.
+	lostDisks int
+	up        bool
 }
 
 // testNode is a node with its version after the previous step and the offset of its clock from that of the fleet.
@@ -103,7 +105,14 @@
 }
 
 func (f *fleet) controllerMember(c *testController) *wire.Member {
-	return &wire.Member{Id: c.address + "-disk", Name: c.address, Address: c.address}
+	return &wire.Member{Id: fmt.Sprintf("%s-disk%d", c.address, c.lostDisks), Name: c.address, Address: c.address}
+}
+
+// loseDisk starts a controller again with an empty disk.
+func (f *fleet) loseDisk(c *testController) {
+	c.disk = replicator.RestoredState{}
+	c.lostDisks++
+	f.startController(c)
 }
 
 func (f *fleet) startController(c *testController) {
