--- /dev/null
+++ b/review/_standin/poison.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// arrival is one arrival of the crashing request at a worker.
+type arrival struct {
+	at     time.Time
+	id     string
+	worker *machine
+}
+
+// poison sends the same crashing request again and again, to one machine after the other, while the processes on the workers' machines are
+// stopped and started in turn. It reports whether BUDGET is broken.
+func poison(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	const (
+		path   = prefixFiling + "the-batch-that-crashes"
+		body   = "the same batch each time"
+		pause  = 700 * time.Millisecond
+		before = 6 * time.Second
+		span   = 90 * time.Second
+	)
+
+	var (
+		mu       sync.Mutex
+		arrivals []arrival
+		senders  = map[string]*machine{}
+	)
+
+	onRun = func(w *worker, r *http.Request) bool {
+		if r.URL.Path != path {
+			return false
+		}
+
+		mu.Lock()
+		defer mu.Unlock()
+
+		arrivals = append(arrivals, arrival{at: time.Now(), id: r.Header.Get("Sycamoretiller-Attempt-Id"), worker: w.machine})
+		f.record.note("%.1f s: the crashing request reaches the worker on %s", f.record.seconds(time.Now()), w.machine.name)
+
+		return true
+	}
+
+	if err := f.start(ctx, configuration()); err != nil {
+		return false, err
+	}
+
+	usual, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	t := newTraffic(f.record)
+	t.begin(usual, f, 2)
+
+	var resends sync.WaitGroup
+
+	resends.Go(func() {
+		for n := 0; wait(usual, pause); n++ {
+			m := f.sides[n%len(f.sides)]
+			if m.out.Load() {
+				continue
+			}
+
+			id := newID()
+
+			mu.Lock()
+			senders[id] = m
+			mu.Unlock()
+
+			f.record.printf("sent %s POST %s at %s", id, path, m.name)
+			f.record.printf("answered %s at %s: %s", id, m.name, send(m, id, http.MethodPost, path, body, 1500))
+		}
+	})
+
+	end := time.Now().Add(span)
+	wait(ctx, before)
+
+	if trouble {
+		if err := rollRestart(ctx, f, end); err != nil {
+			return false, err
+		}
+	}
+
+	wait(ctx, time.Until(end))
+	cancel()
+	resends.Wait()
+	t.report()
+
+	mu.Lock()
+	defer mu.Unlock()
+
+	return judgePoison(f, arrivals, senders), nil
+}
+
+// rollPause is the time between two restarts.
+const rollPause = 9 * time.Second
+
+// rollRestart stops the processes on the sidecar machines with SIGTERM one after the other and starts them again.
+func rollRestart(ctx context.Context, f *fleet, end time.Time) error {
+	for _, m := range f.sides {
+		if time.Until(end) < rollPause {
+			return nil
+		}
+
+		f.record.note("%.1f s: SIGTERM to the process on %s", f.record.seconds(time.Now()), m.name)
+		m.stop()
+
+		if err := m.restart(); err != nil {
+			return err
+		}
+
+		f.record.note("%.1f s: the process on %s is started again", f.record.seconds(time.Now()), m.name)
+		wait(ctx, rollPause)
+	}
+
+	return nil
+}
+
+// judgePoison applies the rule: more than three retries reach workers, sent by machines in touch later than the stability window after the
+// request has crashed the third worker.
+func judgePoison(f *fleet, arrivals []arrival, senders map[string]*machine) bool {
+	const (
+		freeCrashes = 3
+		freeRetries = 3
+	)
+
+	counted := map[string]bool{}
+
+	for i, a := range arrivals {
+		if i < freeCrashes {
+			continue
+		}
+
+		late := a.at.Sub(arrivals[freeCrashes-1].at) > stabilityWindow
+		touch := senders[a.id].touchAt(a.at) && a.worker.touchAt(a.at)
+
+		if late && touch {
+			counted[a.id] = true
+		}
+
+		f.record.note("%.1f s: arrival %d, sent at %s to %s; later than the window after the third crash: %t, both in touch: %t",
+			f.record.seconds(a.at), i+1, senders[a.id].name, a.worker.name, late, touch)
+	}
+
+	f.record.note("the request crashed workers %d times; %d retries count, %d are allowed", len(arrivals), len(counted), freeRetries)
+
+	return len(counted) > freeRetries
+}
