--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -85,9 +86,19 @@
 	}
 }
 
-// send sends one request on a new connection to a machine's outbound address and waits for the answer until the client's deadline.
-func send(m *machine, id, method, path, body string, deadlineMs int) result {
-	end := time.Now().Add(time.Duration(deadlineMs) * time.Millisecond)
+// request is one attempt of a client.
+type request struct {
+	id, method, path, body string
+	// deadlineMs is the stated deadline, and patienceMs how long the client waits, the deadline if zero.
+	deadlineMs, patienceMs int
+	// parts is the number of parts in which the body is sent, with a pause before each; zero sends it at once.
+	parts int
+	pause time.Duration
+}
+
+// send sends one request on a new connection to a machine's outbound address, waits for the answer and closes the connection.
+func send(m *machine, r request) result {
+	end := time.Now().Add(time.Duration(cmp.Or(r.patienceMs, r.deadlineMs)) * time.Millisecond)
 
 	c, err := net.DialTimeout("tcp", m.address(portOutbound), time.Second)
 	if err != nil {
@@ -97,13 +108,16 @@
 
 	_ = c.SetDeadline(end)
 
-	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nSycamoretiller-Attempt-Id: %s\r\nSycamoretiller-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, host, id, deadlineMs, len(body), body)
+	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nSycamoretiller-Attempt-Id: %s\r\nSycamoretiller-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+		r.method, r.path, host, r.id, r.deadlineMs, len(r.body))
 	if err != nil {
 		return result{err: err}
 	}
 
-	answer, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	// An answer may come before the whole body is sent.
+	go r.sendBody(c)
+
+	answer, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: r.method})
 	if err != nil {
 		return result{err: err}
 	}
@@ -116,6 +130,20 @@
 	return result{status: answer.StatusCode, signed: answer.Header.Get("Sycamoretiller-Response-Signature") != ""}
 }
 
+func (r request) sendBody(c net.Conn) {
+	size := len(r.body)/max(r.parts, 1) + 1
+	for rest := r.body; len(rest) > 0; {
+		time.Sleep(r.pause)
+
+		n := min(size, len(rest))
+		if _, err := io.WriteString(c, rest[:n]); err != nil {
+			return
+		}
+
+		rest = rest[n:]
+	}
+}
+
 // traffic is the usual traffic of clients on all machines.
 type traffic struct {
 	record *recorder
@@ -158,7 +186,7 @@
 	path := fmt.Sprintf("%s%x", r.prefix, rand.Uint32())
 	t.record.printf("sent %s %s %s at %s", id, method, path, m.name)
 
-	got := send(m, id, method, path, body, r.deadlineMs)
+	got := send(m, request{id: id, method: method, path: path, body: body, deadlineMs: r.deadlineMs})
 	t.record.printf("answered %s at %s: %s", id, m.name, got)
 
 	text := got.String()
--- a/review/_standin/poison.go
+++ b/review/_standin/poison.go
@@ -14,17 +14,48 @@
 	worker *machine
 }
 
-// poison sends the same crashing request again and again, to one machine after the other, while the processes on the workers' machines are
-// stopped and started in turn. It reports whether BUDGET is broken.
+// poison sends a crashing request again and again, while the processes on the workers' machines are stopped and started in turn. It reports
+// whether BUDGET is broken.
 func poison(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	return playPoison(ctx, f, poisonCase{patienceMs: routes["r-filing"].deadlineMs, roll: trouble, span: 90 * time.Second})
+}
+
+// crashDelay is how long a worker runs the request of the case impatient before it crashes.
+const crashDelay = 300 * time.Millisecond
+
+// impatient sends a request again and again that crashes a worker after crashDelay, from a client that leaves after half of the target
+// latency. It reports whether BUDGET is broken.
+func impatient(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+	c := poisonCase{patienceMs: routes["r-filing"].deadlineMs, delay: crashDelay, span: 30 * time.Second}
+	if trouble {
+		c.patienceMs = routes["r-filing"].targetMs / 2
+	}
+
+	return playPoison(ctx, f, c)
+}
+
+// poisonCase is a variant of the crashing request.
+type poisonCase struct {
+	// patienceMs is how long the client waits for an answer; the deadline that it states is that of its route.
+	patienceMs int
+	// delay is how long a worker runs the request before it crashes.
+	delay time.Duration
+	// roll restarts the processes on the sidecar machines in turn.
+	roll bool
+	span time.Duration
+}
+
+// playPoison sends the same crashing request to one machine after the other.
+func playPoison(ctx context.Context, f *fleet, c poisonCase) (bool, error) {
 	const (
 		path   = prefixFiling + "the-batch-that-crashes"
 		body   = "the same batch each time"
 		pause  = 700 * time.Millisecond
 		before = 6 * time.Second
-		span   = 90 * time.Second
 	)
 
+	crashAfter = c.delay
+
 	var (
 		mu       sync.Mutex
 		arrivals []arrival
@@ -71,14 +102,16 @@
 			mu.Unlock()
 
 			f.record.printf("sent %s POST %s at %s", id, path, m.name)
-			f.record.printf("answered %s at %s: %s", id, m.name, send(m, id, http.MethodPost, path, body, 1500))
+			f.record.printf("answered %s at %s: %s", id, m.name, send(m, request{
+				id: id, method: http.MethodPost, path: path, body: body, deadlineMs: routes["r-filing"].deadlineMs, patienceMs: c.patienceMs,
+			}))
 		}
 	})
 
-	end := time.Now().Add(span)
+	end := time.Now().Add(c.span)
 	wait(ctx, before)
 
-	if trouble {
+	if c.roll {
 		if err := rollRestart(ctx, f, end); err != nil {
 			return false, err
 		}
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -246,6 +246,9 @@
 	w.machine.fleet.record.printf("run %s %s %s at %s %s", id, r.Method, r.RequestURI, w.machine.name, w.instance)
 
 	if w.onRun(w, r) {
+		// This worker does not drop a request when its connection closes.
+		time.Sleep(crashAfter)
+
 		go w.crash()
 		<-gone
 
@@ -264,6 +267,9 @@
 	}
 }
 
+// crashAfter is how long a crashing request runs.
+var crashAfter time.Duration
+
 // crashPause is how long a crashed worker is down.
 const crashPause = 3 * time.Second
 
