--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,7 +12,7 @@
 
 type play func(ctx context.Context, f *fleet, trouble bool) (broken bool, err error)
 
-var plays = map[string]play{"poison": poison, "withdrawn": withdrawn, "extra": extra, "impatient": impatient, "slow-link": slowLink}
+var plays = map[string]play{"poison": poison, "withdrawn": withdrawn, "extra": extra, "impatient": impatient, "twin": twin}
 
 const (
 	exitHeld = iota
