--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -84,6 +84,14 @@
 	return true
 }
 
+// disturbedWithin reports whether a signal or a start disturbed the machine within a time before now.
+func (m *machine) disturbedWithin(d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return len(m.disturbances) > 0 && time.Since(m.disturbances[len(m.disturbances)-1]) < d
+}
+
 func (m *machine) disturb() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -267,6 +275,9 @@
 const (
 	serviceBook    = "recipe-book"
 	serviceArchive = "spice-archive"
+	// bookWorkers of the sidecarMachines belong to recipe-book, the first ones.
+	bookWorkers     = 6
+	sidecarMachines = 10
 )
 
 // newFleet lays out the machines of the site lscrc-mesh: three zones with a core machine each, six workers of one service and four of another.
@@ -298,9 +309,9 @@
 		f.cores = append(f.cores, add("core", n, ""))
 	}
 
-	for n := range 10 {
+	for n := range sidecarMachines {
 		service := serviceBook
-		if n >= 6 {
+		if n >= bookWorkers {
 			service = serviceArchive
 		}
 
--- a/review/_standin/poison.go
+++ b/review/_standin/poison.go
@@ -17,7 +17,9 @@
 // poison sends a crashing request again and again, while the processes on the workers' machines are stopped and started in turn. It reports
 // whether BUDGET is broken.
 func poison(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	return playPoison(ctx, f, poisonCase{patienceMs: routes["r-filing"].deadlineMs, roll: trouble, span: 90 * time.Second})
+	return playPoison(ctx, f, poisonCase{
+		patienceMs: routes["r-filing"].deadlineMs, roll: trouble, span: 90 * time.Second, caller: serviceBook,
+	})
 }
 
 // crashDelay is how long a worker runs the request of the case impatient before it crashes.
@@ -26,7 +28,7 @@
 // impatient sends a request again and again that crashes a worker after crashDelay, from a client that leaves after half of the target
 // latency. It reports whether BUDGET is broken.
 func impatient(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	c := poisonCase{patienceMs: routes["r-filing"].deadlineMs, delay: crashDelay, span: 30 * time.Second}
+	c := poisonCase{patienceMs: routes["r-filing"].deadlineMs, delay: crashDelay, span: 30 * time.Second, caller: serviceBook}
 	if trouble {
 		c.patienceMs = routes["r-filing"].targetMs / 2
 	}
@@ -51,7 +53,7 @@
 	// roll restarts the processes on the sidecar machines in turn.
 	roll bool
 	span time.Duration
-	// caller is the only service whose request crashes the workers, any if empty; only the machines of that service send it.
+	// caller is the service whose request crashes the workers; only the machines of that service send it.
 	caller string
 	// twins lets the machines of other services send the same path and body.
 	twins bool
@@ -62,7 +64,7 @@
 // callers returns the machines that send the crashing request, and those that send its harmless twin.
 func (c poisonCase) callers(f *fleet) (crashing, harmless []*machine) {
 	for _, m := range f.sides {
-		if c.caller == "" || m.service == c.caller {
+		if m.service == c.caller {
 			crashing = append(crashing, m)
 		} else {
 			harmless = append(harmless, m)
@@ -72,6 +74,9 @@
 	return crashing, harmless
 }
 
+// returnAfter is how long after a restart of its process the caller comes back to a machine.
+const returnAfter = 4 * time.Second
+
 // playPoison sends the same crashing request to one machine after the other.
 func playPoison(ctx context.Context, f *fleet, c poisonCase) (bool, error) {
 	const (
@@ -92,7 +97,7 @@
 	)
 
 	onRun = func(w *worker, r *http.Request) bool {
-		if r.URL.Path != path || (c.caller != "" && r.Header.Get("Sycamoretiller-Caller-Service") != c.caller) {
+		if r.URL.Path != path || r.Header.Get("Sycamoretiller-Caller-Service") != c.caller {
 			return false
 		}
 
@@ -121,7 +126,7 @@
 	sendAgain := func(machines []*machine, pause time.Duration) {
 		for n := 0; wait(usual, pause); n++ {
 			m := machines[n%len(machines)]
-			if m.out.Load() {
+			if m.out.Load() || m.disturbedWithin(returnAfter) {
 				continue
 			}
 
@@ -168,15 +173,13 @@
 }
 
 // rollPause is the time between two restarts.
-const rollPause = 9 * time.Second
+const rollPause = 8 * time.Second
 
-// rollRestart stops the processes on the sidecar machines with SIGTERM one after the other and starts them again.
+// rollRestart stops the processes on the machines of recipe-book with SIGTERM one after the other and starts them again, round after round until
+// the end.
 func rollRestart(ctx context.Context, f *fleet, end time.Time) error {
-	for _, m := range f.sides {
-		if time.Until(end) < rollPause {
-			return nil
-		}
-
+	for n := 0; time.Until(end) > grace+rollPause; n++ {
+		m := f.sides[n%bookWorkers]
 		f.record.note("%.1f s: SIGTERM to the process on %s", f.record.seconds(time.Now()), m.name)
 		m.stop()
 
