Keep the withdrawal of a backend server over a restart of its node

Cause: registrar.Core kept withdrawn starts in memory only, and the entry that peers store named neither the start nor its withdrawal. Ruled out: a late heartbeat that is applied although the withdrawal is known (without the kill it is ignored), and peers that route by an older entry (requests begin with the heartbeat, 3 s after the restart).

Change: entries list the starts that are leaving; leaving is acknowledged once three nodes, one of them in another data centre, store the entry, and answered 503 otherwise; peers keep the list of a node's previous process until the node has taken it back, and a restarted node uses its server only after a peer has answered, or after 500 ms.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -47,6 +47,9 @@
 	up          bool
 	lastVersion tiller.Version
 	skew        tiller.Millis
+	// restored and replicated are what the node's steps have returned since its start.
+	restored   []detector.Withdrawal
+	replicated []detector.Replication
 }
 
 // fleet runs controllers and nodes in virtual time and checks their state after every step.
@@ -143,6 +146,7 @@
 	n.core = node.New(n.config, uint64(f.now)+f.starts, quarantiner.NewRegistry(), rand.New(rand.NewPCG(f.starts, 2)))
 	n.up = true
 	n.lastVersion = tiller.Version{}
+	n.restored, n.replicated = nil, nil
 	f.stepNode(n, node.Announce{Backend: detector.Backend{
 		Service: "casting-board", State: wire.BackendState_BACKEND_STATE_READY, Slots: 10, Connections: 130,
 	}})
@@ -191,6 +195,8 @@
 	}
 
 	e := n.core.Step(f.now+n.skew, input)
+	n.restored = append(n.restored, e.Restored...)
+	n.replicated = append(n.replicated, e.Replicated...)
 	f.net.Send(f.now, e.Messages...)
 	f.checkNode(n)
 }
--- /dev/null
+++ b/internal/fleettest/withdrawal_test.go
@@ -0,0 +1,184 @@
+package fleettest
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	// restoreBound is the time after the restart of a node within which it must know the withdrawals of its previous process. It counts as in
+	// touch with the fleet after that.
+	restoreBound = 3 * tiller.Second
+	// restartDelay is how long a killed process is down.
+	restartDelay = tiller.Second / 2
+)
+
+// withdraw lets a node report that a start of its backend server leaves, and waits until the node may acknowledge it.
+func (f *fleet) withdraw(n *testNode, w detector.Withdrawal) bool {
+	f.t.Helper()
+	f.stepNode(n, node.Announce{Backend: detector.Backend{
+		Service: "casting-board", State: wire.BackendState_BACKEND_STATE_DRAINING, Slots: 10, Connections: 130, Withdrawals: []detector.Withdrawal{w},
+	}})
+	f.stepNode(n, node.ReplicateEntry{Token: 1})
+	f.until(detector.ReplicationTimeout+2*stepMs, "the replication ends", func() bool { return len(n.replicated) > 0 })
+
+	return n.replicated[0].Stored
+}
+
+// TestWithdrawalOutlivesRestarts guards against a node that acknowledges that its backend server leaves, is killed, and then takes a late
+// announcement of that server for a new one.
+func TestWithdrawalOutlivesRestarts(t *testing.T) {
+	alone := func(_ *fleet, n *testNode) []*testNode { return []*testNode{n} }
+	dataCentre := func(f *fleet, n *testNode) []*testNode {
+		return slices.DeleteFunc(slices.Clone(f.nodes), func(o *testNode) bool { return o.config.DataCentre != n.config.DataCentre })
+	}
+	calm := faultnet.Faults{MinDelay: 1, MaxDelay: 20}
+
+	cases := []struct {
+		name     string
+		faults   faultnet.Faults
+		killed   func(f *fleet, n *testNode) []*testNode
+		restarts int
+		// stepBack is how far the clocks of the killed nodes are set back.
+		stepBack tiller.Millis
+		// later is the time between the acknowledgement and the kill. The entry is no longer spread by gossip after some seconds.
+		later tiller.Millis
+	}{
+		{"the node alone", calm, alone, 1, 0, 0},
+		{"the node alone, later", calm, alone, 1, 0, 10 * tiller.Second},
+		{"lossy network", faultnet.Faults{Loss: 0.05, Duplication: 0.1, MinDelay: 1, MaxDelay: 50}, alone, 1, 0, 0},
+		{"lossy network, later", faultnet.Faults{Loss: 0.05, Duplication: 0.1, MinDelay: 1, MaxDelay: 50}, alone, 1, 0, 10 * tiller.Second},
+		{"two restarts in a row", calm, alone, 2, 0, 0},
+		{"two restarts in a row, later", calm, alone, 2, 0, 10 * tiller.Second},
+		{"clock set back before the restart", calm, alone, 1, tiller.Hour, 0},
+		{"with its whole data centre", calm, dataCentre, 1, 0, 0},
+		{"with its whole data centre, later", calm, dataCentre, 1, 0, 10 * tiller.Second},
+		{"with every node of the other data centres", calm, func(f *fleet, n *testNode) []*testNode {
+			return slices.DeleteFunc(slices.Clone(f.nodes), func(o *testNode) bool { return o.config.DataCentre == n.config.DataCentre && o != n })
+		}, 1, 0, 0},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f, _ := settledFleet(t, 3, 5)
+			f.net.SetFaults(tc.faults)
+
+			n := f.nodes[7]
+			w := detector.Withdrawal{Instance: "i-1", StartedAtMs: 100, Sequence: detector.AllSequences}
+			require.True(t, f.withdraw(n, w))
+			f.run(tc.later)
+
+			killed := tc.killed(f, n)
+			for range tc.restarts {
+				for _, k := range killed {
+					k.up = false
+				}
+
+				f.run(restartDelay)
+
+				now := f.now
+				f.now -= tc.stepBack
+
+				for _, k := range killed {
+					f.startNode(k)
+					k.skew = 0
+				}
+
+				f.now = now
+				f.run(stepMs)
+			}
+
+			f.until(restoreBound, "the restarted node knows the withdrawal again", func() bool { return len(n.restored) > 0 })
+			require.Equal(t, []detector.Withdrawal{w}, n.restored)
+			require.Contains(t, n.core.Self().GetWithdrawals()[0].String(), "i-1")
+		})
+	}
+}
+
+// TestWithdrawalIsRestoredBeforeRecovery guards against a restarted node that uses a server before it has heard that the server was withdrawn.
+func TestWithdrawalIsRestoredBeforeRecovery(t *testing.T) {
+	f, _ := settledFleet(t, 3, 5)
+	n := f.nodes[7]
+	require.True(t, f.withdraw(n, detector.Withdrawal{Instance: "i-1", StartedAtMs: 100, Sequence: detector.AllSequences}))
+
+	n.up = false
+	f.run(restartDelay)
+	f.startNode(n)
+	require.False(t, n.core.Recovered())
+
+	f.until(detector.RecoveryTimeout, "the node has recovered", n.core.Recovered)
+	require.NotEmpty(t, n.restored)
+}
+
+// TestNodesThatRestartTogetherRecoverInTime bounds how long servers may stay unused after a restart of all nodes at once.
+func TestNodesThatRestartTogetherRecoverInTime(t *testing.T) {
+	f, _ := settledFleet(t, 3, 20)
+	for _, n := range f.nodes {
+		n.up = false
+	}
+
+	f.run(restartDelay)
+
+	for _, n := range f.nodes {
+		f.startNode(n)
+	}
+
+	took := f.until(detector.RecoveryTimeout+2*stepMs, "all nodes have recovered", func() bool {
+		return !slices.ContainsFunc(f.nodes, func(n *testNode) bool { return !n.core.Recovered() })
+	})
+	t.Logf("all nodes had recovered after %d ms", took)
+}
+
+// TestWithdrawalIsStoredOutsideTheDataCentreOrNotAcknowledged guards against an acknowledgement that only the node itself remembers.
+func TestWithdrawalIsStoredOutsideTheDataCentreOrNotAcknowledged(t *testing.T) {
+	w := detector.Withdrawal{Instance: "i-1", StartedAtMs: 100, Sequence: detector.AllSequences}
+
+	for _, tc := range []struct {
+		name   string
+		cut    func(from, to string) bool
+		stored bool
+	}{
+		{"no cut", func(string, string) bool { return false }, true},
+		{"another data centre is cut off", func(from, to string) bool { return (dataCentreOf(from) == "dc2") != (dataCentreOf(to) == "dc2") }, true},
+		{"the data centre is cut off", func(from, to string) bool { return (dataCentreOf(from) == "dc1") != (dataCentreOf(to) == "dc1") }, false},
+		{"the node is cut off", func(from, to string) bool { return (from == "dc1/n2") != (to == "dc1/n2") }, false},
+		{"messages from the node are lost", func(from, _ string) bool { return from == "dc1/n2" }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f, _ := settledFleet(t, 3, 5)
+			f.net.Partition(tc.cut)
+			require.Equal(t, tc.stored, f.withdraw(f.nodes[7], w))
+		})
+	}
+
+	t.Run("a fleet of one node", func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		require.True(t, f.withdraw(f.nodes[0], w))
+	})
+}
+
+// TestWithdrawalsAreBounded guards against entries that grow with every server that has left.
+func TestWithdrawalsAreBounded(t *testing.T) {
+	f, _ := settledFleet(t, 1, 4)
+	n := f.nodes[2]
+
+	var ws []detector.Withdrawal
+	for i := range int64(50) {
+		ws = append(ws, detector.Withdrawal{Instance: fmt.Sprintf("i-%d", i), StartedAtMs: i, Sequence: detector.AllSequences})
+	}
+
+	f.stepNode(n, node.Announce{Backend: detector.Backend{Service: "casting-board", Withdrawals: ws}})
+
+	own := n.core.Self().GetWithdrawals()
+	require.Len(t, own, 8)
+	require.Equal(t, "i-49", own[7].GetInstance(), "the latest are kept")
+}
--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -55,6 +55,10 @@
 	Messages []*wire.Envelope
 	// Events are recorded in the timeline.
 	Events []tiller.Event
+	// Restored are withdrawals that this process did not know and that a peer remembers from the previous one.
+	Restored []Withdrawal
+	// Replicated are the results of replications.
+	Replicated []Replication
 }
 
 // Input is an input of Core.Step.
@@ -92,6 +96,8 @@
 	Instance string
 	// ColdUntil is when the server's cold start ends, by its own node's clock.
 	ColdUntil tiller.Millis
+	// Withdrawals are the starts of servers on this VM that are leaving, oldest first.
+	Withdrawals []Withdrawal
 }
 
 // probe is the node's own outstanding probe.
@@ -137,6 +143,13 @@
 	nextPushAt    map[string]tiller.Millis
 	gossipPending bool
 
+	// replications are in progress.
+	replications []*replication
+	// startedAt is the time of the first step.
+	startedAt tiller.Millis
+	// contacted is set when a peer has sent its table of this node's data centre, or what it knows of this node.
+	contacted bool
+
 	out Effects
 }
 
@@ -160,6 +173,10 @@
 	c.now = c.clock.Advance(reading)
 	c.out = Effects{}
 
+	if c.startedAt == 0 {
+		c.startedAt = c.now
+	}
+
 	switch e := input.(type) {
 	case Tick:
 		c.tick()
@@ -169,6 +186,8 @@
 		c.announce(e.Backend)
 	case Introduce:
 		c.introduce(e.Addresses)
+	case Replicate:
+		c.replicate(e.Token)
 	case Leave:
 		c.leave()
 	}
@@ -182,6 +201,7 @@
 	}
 
 	c.checkProbe()
+	c.tickReplications()
 
 	if c.now >= c.probeAt {
 		c.probeAt = c.now + ProbePeriod
@@ -213,7 +233,11 @@
 func (c *Core) tickRemote() {
 	if c.now >= c.seedAt {
 		c.seedAt = c.now + seedPeriod
-		if len(c.localPeers()) == 0 {
+
+		switch {
+		case !c.Recovered():
+			c.seedAt = c.now + recoveryPeriod
+		case len(c.localPeers()) == 0:
 			c.seedAt = c.now + ProbePeriod
 		}
 
@@ -235,7 +259,8 @@
 
 func (c *Core) announce(b Backend) {
 	if c.self.GetService() == string(b.Service) && c.self.GetState() == b.State && int(c.self.GetSlots()) == b.Slots &&
-		int(c.self.GetConnections()) == b.Connections && c.self.GetInstance() == b.Instance && c.self.GetColdUntil() == int64(b.ColdUntil) {
+		int(c.self.GetConnections()) == b.Connections && c.self.GetInstance() == b.Instance && c.self.GetColdUntil() == int64(b.ColdUntil) &&
+		slices.Equal(c.Withdrawals(), latest(b.Withdrawals)) {
 		return
 	}
 
@@ -250,6 +275,7 @@
 		e.Connections = uint32(max(b.Connections, 0))
 		e.Instance = b.Instance
 		e.ColdUntil = int64(b.ColdUntil)
+		e.Withdrawals = toWire(latest(b.Withdrawals))
 	})
 }
 
--- a/membership/detector/model_test.go
+++ b/membership/detector/model_test.go
@@ -147,7 +147,9 @@
 }
 
 // actions are the possible steps of a schedule; repeated ones are drawn more often.
-var actions = []string{"advance", "advance", "deliver", "deliver", "deliver", "duplicate", "lose", "announce", "leave", "kill", "restart"}
+var actions = []string{
+	"advance", "advance", "deliver", "deliver", "deliver", "duplicate", "lose", "announce", "replicate", "leave", "kill", "restart",
+}
 
 func (m *model) runAction() {
 	i := rapid.IntRange(0, modelNodes-1).Draw(m.t, "node")
@@ -172,7 +174,12 @@
 		m.step(i, detector.Announce{Backend: detector.Backend{
 			Service: "board", Slots: rapid.IntRange(1, 9).Draw(m.t, "slots"), Connections: 10,
 			State: rapid.SampledFrom([]wire.BackendState{wire.BackendState_BACKEND_STATE_READY, wire.BackendState_BACKEND_STATE_DRAINING}).Draw(m.t, "state"),
+			Withdrawals: rapid.SampledFrom([][]detector.Withdrawal{nil, {{Instance: "a", StartedAtMs: 1, Sequence: 1}}, {
+				{Instance: "a", StartedAtMs: 2, Sequence: detector.AllSequences}, {Instance: "b", StartedAtMs: 1, Sequence: 3},
+			}}).Draw(m.t, "withdrawals"),
 		}})
+	case "replicate":
+		m.step(i, detector.Replicate{Token: 1})
 	case "leave":
 		m.step(i, detector.Leave{})
 		m.up[i] = false
@@ -185,7 +192,7 @@
 
 // TestEntriesUnderAnySchedule reorders, duplicates and loses messages while nodes announce, leave, fail and restart with clocks set
 // back. No node may replace an entry by an older one or have one that its owner never issued. After the network has recovered, every
-// node's entry of each node must equal that node's own.
+// node's entry of each node must equal that node's own, which includes the withdrawals that a node has taken back after a restart.
 func TestEntriesUnderAnySchedule(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
--- a/membership/detector/probe.go
+++ b/membership/detector/probe.go
@@ -73,6 +73,7 @@
 func (c *Core) expire() {
 	for _, e := range c.Entries() {
 		r := c.table.records[e.GetName()]
+		c.remind(e)
 
 		switch {
 		case e.GetName() == c.self.GetName():
--- a/membership/detector/receive.go
+++ b/membership/detector/receive.go
@@ -18,7 +18,7 @@
 }
 
 func (c *Core) onProbe(from string, p *wire.Probe) {
-	known := len(p.GetEntries()) > 0 && c.table.entry(p.GetEntries()[0].GetName()) != nil
+	known := len(p.GetEntries()) > 0 && c.knowsProcess(p.GetEntries()[0])
 	c.mergeAll(p.GetEntries())
 
 	if !known {
@@ -31,12 +31,28 @@
 	case p.GetOnBehalfOf() != "" && p.GetTarget() != c.self.GetName():
 		c.relayProbe(p)
 	case p.GetNonce() != 0 && p.GetTarget() == c.self.GetName():
-		c.ack(from, p.GetNonce(), p.GetTarget())
+		c.ack(from, p.GetNonce(), p.GetTarget(), c.newerThan(p.GetEntries())...)
 	case len(p.GetEntries()) > 0 && c.knowsNewer(p.GetEntries()[0]):
-		c.ack(from, 0, "")
+		c.ack(from, 0, "", c.newerThan(p.GetEntries())...)
 	}
 }
 
+// knowsProcess reports whether an entry of the sender's present process, or of a later one, was known before.
+func (c *Core) knowsProcess(e *wire.NodeEntry) bool {
+	known := c.table.entry(e.GetName())
+
+	return known != nil && known.GetIncarnation() >= e.GetIncarnation()
+}
+
+// newerThan returns this node's entry of the sender if it is newer than the sender's own, which comes first in a probe.
+func (c *Core) newerThan(entries []*wire.NodeEntry) []*wire.NodeEntry {
+	if len(entries) == 0 || !c.knowsNewer(entries[0]) {
+		return nil
+	}
+
+	return []*wire.NodeEntry{c.table.entry(entries[0].GetName())}
+}
+
 // knowsNewer reports whether this node has a newer entry of the sender than the sender itself.
 func (c *Core) knowsNewer(e *wire.NodeEntry) bool {
 	known := c.table.entry(e.GetName())
@@ -56,8 +72,10 @@
 	c.sendProbe(target.GetAddress(), nonce, p.GetTarget(), "")
 }
 
-func (c *Core) ack(to string, nonce uint64, target string) {
+// ack acknowledges a probe. Further entries are those that the receiver needs besides the usual ones.
+func (c *Core) ack(to string, nonce uint64, target string, further ...*wire.NodeEntry) {
 	a := &wire.ProbeAck{Nonce: nonce, Target: target, Entries: c.piggyback(), Offer: c.advertisement, Digests: c.sampleDigests()}
+	a.Entries = append(a.Entries, further...)
 
 	// The receiver needs the entry that suspects it or declares it dead, so that it can refute it.
 	for _, e := range c.localPeers() {
@@ -87,6 +105,7 @@
 func (c *Core) onAck(from string, a *wire.ProbeAck) {
 	c.mergeAll(a.GetEntries())
 	c.compareDigests(from, a.GetDigests())
+	c.confirmCopy(a.GetNonce(), a.GetTarget())
 
 	if c.probing.active && a.GetNonce() == c.probing.nonce && a.GetTarget() == c.probing.target {
 		c.probing.active = false
@@ -113,6 +132,7 @@
 
 	if e.GetName() == c.self.GetName() {
 		c.refute(e)
+		c.restore(e)
 
 		return
 	}
@@ -129,6 +149,7 @@
 	}
 
 	c.put(e)
+	c.remind(e)
 	c.emitChange(old, e)
 }
 
@@ -199,6 +220,10 @@
 func (c *Core) pushTable(to, dc string, reply bool) {
 	entries := c.table.inDataCentre(dc)
 
+	for i, e := range entries {
+		entries[i] = c.entryFor(to, e)
+	}
+
 	for len(entries) > 0 || reply {
 		n := min(len(entries), maxEntriesPerPush)
 		c.send(to, &wire.Envelope{Body: &wire.Envelope_TablePush{TablePush: &wire.TablePush{
@@ -212,10 +237,24 @@
 	}
 }
 
+// entryFor returns an entry as it is sent to an address. The node of the entry itself gets the withdrawals that it has to take back, in the
+// message by which it recovers.
+func (c *Core) entryFor(to string, e *wire.NodeEntry) *wire.NodeEntry {
+	if e.GetAddress() != to {
+		return e
+	}
+
+	return c.table.records[e.GetName()].withCarried()
+}
+
 // onTablePush merges a table and replies with the entries that the sender lacks or has older.
 func (c *Core) onTablePush(from string, p *wire.TablePush) {
 	c.mergeAll(p.GetEntries())
 
+	if p.GetDataCentre() == c.self.GetDataCentre() {
+		c.contacted = true
+	}
+
 	if !p.GetReply() {
 		return
 	}
@@ -228,8 +267,9 @@
 	var missing []*wire.NodeEntry
 
 	for _, e := range c.table.inDataCentre(p.GetDataCentre()) {
-		if t := received[e.GetName()]; t == nil || newer(e, t) {
-			missing = append(missing, e)
+		own := c.entryFor(from, e)
+		if t := received[e.GetName()]; t == nil || newer(e, t) || own != e {
+			missing = append(missing, own)
 		}
 	}
 
--- a/membership/detector/table.go
+++ b/membership/detector/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,8 @@
 type record struct {
 	entry     *wire.NodeEntry
 	changedAt tiller.Millis
+	// carried are the withdrawals of the node's previous process that the node has not taken back yet.
+	carried []Withdrawal
 	// transmissions counts how often the entry was piggybacked since it changed.
 	transmissions int
 }
@@ -56,7 +59,7 @@
 	}
 
 	t.digests[e.GetDataCentre()] += entryHash(e)
-	t.records[e.GetName()] = &record{entry: e, changedAt: now}
+	t.records[e.GetName()] = &record{entry: e, changedAt: now, carried: carryOver(old, e)}
 }
 
 func (t *table) addName(e *wire.NodeEntry) {
@@ -148,6 +151,10 @@
 	binary.BigEndian.PutUint64(b[32:], uint64(e.GetColdUntil()))
 	_, _ = d.Write(b[:])
 
+	for _, w := range e.GetWithdrawals() {
+		_, _ = fmt.Fprintf(d, "%s %d %d ", w.GetInstance(), w.GetStartedAt(), w.GetSequence())
+	}
+
 	return d.Sum64()
 }
 
--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -25,8 +25,10 @@
 	refusalPeriod = tiller.Second
 	// maxRefusalPeriod is how long it overrides them while no further announcement is received.
 	maxRefusalPeriod = 3 * tiller.Second
-	// maxWithdrawn bounds the withdrawn instances that are remembered.
-	maxWithdrawn = 32
+	// maxWithdrawals bounds the withdrawals that are remembered.
+	maxWithdrawals = 32
+	// withdrawalLifetime is how long a withdrawal is remembered; late announcements are delayed by seconds.
+	withdrawalLifetime = tiller.Minute
 )
 
 // Announcement is what a backend server reports of itself.
@@ -48,6 +50,14 @@
 	ColdMs int64 `json:"cold_ms,omitempty"`
 }
 
+// Leaves reports whether the announcement states that an identified start of the server leaves, which must outlast a restart of the node.
+func (a Announcement) Leaves() bool {
+	state, ok := tiller.ParseState(a.State)
+	leaving := state == wire.BackendState_BACKEND_STATE_DRAINING || state == wire.BackendState_BACKEND_STATE_GONE
+
+	return ok && leaving && a.Instance != "" && a.Sequence > 0
+}
+
 // Option changes how a core treats announcements.
 type Option func(*Core)
 
@@ -75,14 +85,22 @@
 	coldUntil      tiller.Millis
 	refusedAt      tiller.Millis
 	refused        bool
-	// withdrawn is the latest start of each instance that was withdrawn, in Unix milliseconds.
-	withdrawn      map[string]int64
-	withdrawnOrder []string
+	// withdrawals are the starts that are leaving, the latest last.
+	withdrawals []withdrawal
+}
+
+// withdrawal is a withdrawal with this node's own bookkeeping of it.
+type withdrawal struct {
+	detector.Withdrawal
+
+	expiresAt tiller.Millis
+	// restored is set if a peer remembered the withdrawal from this node's previous process.
+	restored bool
 }
 
 // New returns a core for the service in the node's settings.
 func New(service tiller.Service, options ...Option) *Core {
-	c := &Core{service: service, lease: DefaultLease, state: wire.BackendState_BACKEND_STATE_NONE, withdrawn: map[string]int64{}}
+	c := &Core{service: service, lease: DefaultLease, state: wire.BackendState_BACKEND_STATE_NONE}
 	for _, o := range options {
 		o(c)
 	}
@@ -111,6 +129,8 @@
 	}
 
 	c.setState(now, state, newStart)
+	c.rememberLeaving(now, a)
+
 	c.current = a
 	c.announcedAt = now
 	c.leaseExpiresAt = now + c.lease
@@ -133,7 +153,7 @@
 // superseded reports whether an announcement is older than what is known. The clock of a VM may be set back between two starts, so
 // an earlier start is older only while the lease of the known server lasts.
 func (c *Core) superseded(now tiller.Millis, a Announcement) bool {
-	if startedAtMs, ok := c.withdrawn[a.Instance]; ok && a.Instance != "" && a.StartedAtMs <= startedAtMs {
+	if c.withdrawn(now, a) {
 		return true
 	}
 
@@ -153,7 +173,7 @@
 		startedAtMs = c.current.StartedAtMs
 	}
 
-	c.rememberWithdrawn(instance, startedAtMs)
+	c.remember(now, detector.Withdrawal{Instance: instance, StartedAtMs: startedAtMs, Sequence: detector.AllSequences}, false)
 
 	if known && startedAtMs >= c.current.StartedAtMs {
 		c.setState(now, wire.BackendState_BACKEND_STATE_DRAINING, false)
@@ -181,19 +201,6 @@
 // Leaving reports whether the server is draining or was withdrawn.
 func (c *Core) Leaving() bool { return c.state == wire.BackendState_BACKEND_STATE_DRAINING }
 
-func (c *Core) rememberWithdrawn(instance string, startedAtMs int64) {
-	if _, known := c.withdrawn[instance]; !known {
-		c.withdrawnOrder = append(c.withdrawnOrder, instance)
-	}
-
-	c.withdrawn[instance] = max(startedAtMs, c.withdrawn[instance])
-
-	if len(c.withdrawnOrder) > maxWithdrawn {
-		delete(c.withdrawn, c.withdrawnOrder[0])
-		c.withdrawnOrder = c.withdrawnOrder[1:]
-	}
-}
-
 // validate returns the announced state and every fault of an announcement.
 func (c *Core) validate(a Announcement) (wire.BackendState, []string) {
 	var faults []string
@@ -265,7 +272,7 @@
 
 	return detector.Backend{
 		Service: c.service, State: state, Slots: c.current.Slots, Connections: c.current.Connections,
-		Instance: c.current.Instance, ColdUntil: c.coldUntil,
+		Instance: c.current.Instance, ColdUntil: c.coldUntil, Withdrawals: c.sharedWithdrawals(now),
 	}
 }
 
--- a/membership/registrar/registrar_test.go
+++ b/membership/registrar/registrar_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -193,3 +194,59 @@
 	c.Announce(4100, announcement("b", 200, 1, "ready"))
 	require.True(t, c.Accepts(4200), "another start clears the refusal")
 }
+
+// TestRestoredWithdrawals guards against late announcements after a restart of the node, whose peers remember what it had acknowledged.
+func TestRestoredWithdrawals(t *testing.T) {
+	const (
+		none     = wire.BackendState_BACKEND_STATE_NONE
+		ready    = wire.BackendState_BACKEND_STATE_READY
+		draining = wire.BackendState_BACKEND_STATE_DRAINING
+	)
+
+	withdrawn := []detector.Withdrawal{{Instance: "a", StartedAtMs: 100, Sequence: detector.AllSequences}}
+	drains := []detector.Withdrawal{{Instance: "a", StartedAtMs: 100, Sequence: 5}}
+
+	cases := []struct {
+		name     string
+		restored []detector.Withdrawal
+		run      func(c *registrar.Core)
+		state    wire.BackendState
+	}{
+		{"late announcement of a withdrawn start", withdrawn, func(c *registrar.Core) { c.Announce(20, announcement("a", 100, 9, "ready")) }, none},
+		{"late announcement of an earlier start", withdrawn, func(c *registrar.Core) { c.Announce(20, announcement("a", 90, 9, "ready")) }, none},
+		{"later start of the same instance", withdrawn, func(c *registrar.Core) { c.Announce(20, announcement("a", 101, 1, "ready")) }, ready},
+		{"another instance", withdrawn, func(c *registrar.Core) { c.Announce(20, announcement("b", 100, 1, "ready")) }, ready},
+		{"announcement from before the drain", drains, func(c *registrar.Core) { c.Announce(20, announcement("a", 100, 4, "ready")) }, none},
+		{"the drain goes on", drains, func(c *registrar.Core) { c.Announce(20, announcement("a", 100, 6, "draining")) }, draining},
+		{"the drain was called off", drains, func(c *registrar.Core) { c.Announce(20, announcement("a", 100, 6, "ready")) }, ready},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := registrar.New("board", registrar.WithDrainLinger(500))
+			c.Restore(10, tc.restored)
+			tc.run(c)
+			require.Equal(t, tc.state, c.Backend(30).State)
+			require.Equal(t, tc.state == ready, c.Accepts(30), "no linger is left after a restart")
+		})
+	}
+
+	t.Run("the announcement arrives before the restored withdrawal", func(t *testing.T) {
+		c := registrar.New("board", registrar.WithDrainLinger(500))
+		c.Announce(10, announcement("a", 100, 4, "ready"))
+		c.Restore(20, drains)
+		require.Equal(t, draining, c.Backend(30).State)
+		require.False(t, c.Accepts(30))
+	})
+}
+
+func TestWithdrawalsExpire(t *testing.T) {
+	c := registrar.New("board")
+	c.Announce(0, announcement("a", 100, 1, "ready"))
+	c.Withdraw(10, "a", 100)
+	require.Len(t, c.Backend(60_009).Withdrawals, 1)
+	require.Empty(t, c.Backend(60_010).Withdrawals)
+
+	c.Announce(60_010, announcement("a", 90, 1, "ready"))
+	require.True(t, c.Accepts(60_011), "the server started again after its VM's clock was set back")
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -41,6 +41,10 @@
 	RoundTrip tiller.Option[tiller.Millis]
 	// Events are recorded in the timeline.
 	Events []tiller.Event
+	// Restored are withdrawals that this process did not know and that a peer remembers from the previous one.
+	Restored []detector.Withdrawal
+	// Replicated are the results of replications.
+	Replicated []detector.Replication
 }
 
 // Input is an input of Core.Step.
@@ -58,6 +62,9 @@
 // Announce reports the state of the backend server on this VM.
 type Announce struct{ Backend detector.Backend }
 
+// ReplicateEntry sends the node's membership entry to peers until enough of them store it. The result is in Effects.Replicated.
+type ReplicateEntry struct{ Token uint64 }
+
 // AcquireClaim claims the key of a request before an attempt runs it.
 type AcquireClaim struct {
 	Key     claimer.Key
@@ -89,14 +96,15 @@
 // Leave tells the peers that the node is stopping.
 type Leave struct{}
 
-func (Tick) input()          {}
-func (Receive) input()       {}
-func (Announce) input()      {}
-func (AcquireClaim) input()  {}
-func (CompleteClaim) input() {}
-func (CrashReport) input()   {}
-func (ClearStrikes) input()  {}
-func (Leave) input()         {}
+func (Tick) input()           {}
+func (Receive) input()        {}
+func (Announce) input()       {}
+func (ReplicateEntry) input() {}
+func (AcquireClaim) input()   {}
+func (CompleteClaim) input()  {}
+func (CrashReport) input()    {}
+func (ClearStrikes) input()   {}
+func (Leave) input()          {}
 
 // Core is the state machine of one node; it is not safe for concurrent use.
 type Core struct {
@@ -157,6 +165,8 @@
 		c.out.Messages = wire.ReplyOverStream(e.Envelope, c.out.Messages)
 	case Announce:
 		c.detect(detector.Announce{Backend: e.Backend})
+	case ReplicateEntry:
+		c.detect(detector.Replicate{Token: e.Token})
 	case AcquireClaim:
 		messages, results := c.claimant.Acquire(c.now, e.Key, e.Digest, e.Attempt)
 		c.sendClaims(messages)
@@ -234,6 +244,8 @@
 	c.out.TableChanged = c.out.TableChanged || e.Changed
 	c.out.Messages = append(c.out.Messages, e.Messages...)
 	c.out.Events = append(c.out.Events, e.Events...)
+	c.out.Restored = append(c.out.Restored, e.Restored...)
+	c.out.Replicated = append(c.out.Replicated, e.Replicated...)
 
 	if e.RoundTrip > 0 {
 		c.out.RoundTrip = tiller.Some(e.RoundTrip)
@@ -340,6 +352,9 @@
 // Self returns the node's own entry.
 func (c *Core) Self() *wire.NodeEntry { return c.detector.Self() }
 
+// Recovered reports whether the node has learnt what its peers remember of its previous process, or has stopped waiting for it.
+func (c *Core) Recovered() bool { return c.detector.Recovered() }
+
 // Rank returns the node's position in the ranking of its data centre's nodes.
 func (c *Core) Rank() int { return c.detector.SelfRank() }
 
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/claimer"
@@ -125,7 +128,10 @@
 	now := s.clock.Now()
 	state := s.registrar.Backend(now).State
 
-	if s.registrar.Accepts(now) {
+	switch {
+	case !s.core.Recovered() && state == wire.BackendState_BACKEND_STATE_READY:
+		state = wire.BackendState_BACKEND_STATE_STARTING
+	case s.registrar.Accepts(now):
 		state = wire.BackendState_BACKEND_STATE_READY
 	}
 
@@ -179,23 +185,35 @@
 		return
 	}
 
-	if faults := s.Announce(a); len(faults) > 0 {
+	faults, err := s.Announce(r.Context(), a)
+
+	switch {
+	case len(faults) > 0:
 		replyJSON(w, http.StatusUnprocessableEntity, announceReply{Faults: faults})
 
+		return
+	case err != nil:
+		replyJSON(w, http.StatusServiceUnavailable, announceReply{Faults: []string{err.Error()}})
+
 		return
 	}
 
 	replyJSON(w, http.StatusOK, announceReply{})
 }
 
-// Announce applies an announcement of the backend server, or returns every fault in it and applies nothing.
-func (s *Server) Announce(a registrar.Announcement) []string {
+// ErrNotReplicated means that a node has recorded that its backend server leaves, but could not store this at enough other nodes to keep it
+// over a restart.
+var ErrNotReplicated = eris.New("too few other nodes could be told that the backend server leaves")
+
+// Announce applies an announcement of the backend server, or returns every fault in it and applies nothing. It returns ErrNotReplicated if
+// the server leaves and that may be forgotten when this node restarts.
+func (s *Server) Announce(ctx context.Context, a registrar.Announcement) ([]string, error) {
 	s.mu.Lock()
 	faults := s.registrar.Announce(s.clock.Now(), a)
 	s.mu.Unlock()
 
 	if len(faults) > 0 {
-		return faults
+		return faults, nil
 	}
 
 	s.tick()
@@ -206,16 +224,49 @@
 		s.mu.Unlock()
 	}
 
-	return nil
+	if !a.Leaves() {
+		return nil, nil
+	}
+
+	return nil, s.replicateEntry(ctx)
 }
 
 // Withdraw records that one instance of the backend server is leaving; born is the instance's start in Unix milliseconds, zero if unknown.
-func (s *Server) Withdraw(instance string, born int64) {
+// It returns ErrNotReplicated if that may be forgotten when this node restarts.
+func (s *Server) Withdraw(ctx context.Context, instance string, born int64) error {
 	s.mu.Lock()
+	if born == 0 && instance != s.registrar.Instance() {
+		// A node that has restarted may not know the instance. All its starts up to now are meant.
+		born = time.Now().UnixMilli()
+	}
+
 	s.registrar.Withdraw(s.clock.Now(), instance, born)
 	s.mu.Unlock()
 
 	s.tick()
+
+	return s.replicateEntry(ctx)
+}
+
+// replicateEntry waits until enough other nodes store the node's membership entry.
+func (s *Server) replicateEntry(ctx context.Context) error {
+	token := s.lastToken.Add(1)
+	stored := s.replications.add(token)
+
+	defer s.replications.remove(token)
+
+	s.step(node.ReplicateEntry{Token: token})
+
+	select {
+	case ok := <-stored:
+		if !ok {
+			return ErrNotReplicated
+		}
+
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "replicate the membership entry")
+	}
 }
 
 func replyJSON(w http.ResponseWriter, status int, v any) {
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -76,6 +76,7 @@
 	link         *shaper.Shaper
 	claims       waiters[string, claimer.Result]
 	crashReports waiters[uint64, struct{}]
+	replications waiters[uint64, bool]
 	lastToken    atomic.Uint64
 	crashRecords *quarantiner.Registry
 
@@ -291,35 +292,36 @@
 }
 
 func (s *Server) tick() {
-	s.mu.Lock()
-	backend := s.registrar.Backend(s.clock.Now())
-
-	if s.drained {
-		backend.State = wire.BackendState_BACKEND_STATE_DRAINING
-	}
-	s.mu.Unlock()
-
-	s.announceBackend(backend)
+	s.announceBackend()
 	s.step(node.Tick{Wall: s.hybrid.Wall()})
 	s.limiter.Tick()
 }
 
-// announceBackend reports the state of the backend server to the core and records an event if the state has changed. It does nothing while no
-// backend server is known.
-func (s *Server) announceBackend(b detector.Backend) {
-	s.mu.Lock()
-	before := s.core.Self().GetState()
-	s.mu.Unlock()
+// announceBackend reports the state of the backend server to the core and records an event if the state has changed.
+func (s *Server) announceBackend() {
+	s.stepWith(func() node.Input {
+		b := s.sharedBackend()
+		if b.State != s.core.Self().GetState() {
+			s.ring.Record(tiller.NewEvent(backendEvent(b.State), "backend server is "+tiller.StateName(b.State)))
+		}
 
-	if b.State == wire.BackendState_BACKEND_STATE_NONE {
-		return
-	}
+		return node.Announce{Backend: b}
+	})
+}
+
+// sharedBackend returns the state of the backend server that other nodes are told. The caller holds the lock.
+func (s *Server) sharedBackend() detector.Backend {
+	b := s.registrar.Backend(s.clock.Now())
 
-	if b.State != before {
-		s.ring.Record(tiller.NewEvent(backendEvent(b.State), "backend server is "+tiller.StateName(b.State)))
+	switch {
+	case s.drained:
+		b.State = wire.BackendState_BACKEND_STATE_DRAINING
+	case b.State == wire.BackendState_BACKEND_STATE_READY && !s.core.Recovered():
+		// A peer may remember that this start was withdrawn before the node restarted.
+		b.State = wire.BackendState_BACKEND_STATE_STARTING
 	}
 
-	s.step(node.Announce{Backend: b})
+	return b
 }
 
 func backendEvent(state wire.BackendState) tiller.EventKind {
--- a/process/nodeserver/panic_internal_test.go
+++ b/process/nodeserver/panic_internal_test.go
@@ -18,9 +18,9 @@
 	s := &Server{clock: tiller.SteadyClock(), core: node.New(config, 1, quarantiner.NewRegistry(), rand.New(rand.NewPCG(1, 1)))}
 
 	// No message on the wire decodes to a body without content.
-	_, err := s.advance(node.Receive{Envelope: &wire.Envelope{Body: (*wire.Envelope_Strike)(nil)}})
+	_, err := s.advance(func() node.Input { return node.Receive{Envelope: &wire.Envelope{Body: (*wire.Envelope_Strike)(nil)}} })
 	require.ErrorContains(t, err, "panic")
 
-	_, err = s.advance(node.Tick{})
+	_, err = s.advance(func() node.Input { return node.Tick{} })
 	require.NoError(t, err)
 }
--- /dev/null
+++ b/process/nodeserver/restart_internal_test.go
@@ -0,0 +1,176 @@
+package nodeserver
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	restartMaxWait = 30 * time.Second
+	restartPoll    = 5 * time.Millisecond
+)
+
+// restartable is a node that can be killed and started again on the same addresses.
+type restartable struct {
+	t        *testing.T
+	settings Settings
+	server   *Server
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+
+	return l.Addr().String()
+}
+
+func (r *restartable) start() {
+	r.t.Helper()
+
+	s, err := New(r.settings, Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
+	require.NoError(r.t, err)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	r.server, r.cancel, r.done = s, cancel, make(chan struct{})
+
+	go func() {
+		defer close(r.done)
+
+		// A killed node's parts return the errors of their closed sockets.
+		_ = runner.Run(ctx, s.Parts()...)
+	}()
+}
+
+func (r *restartable) kill() {
+	_ = r.server.Kill()
+	r.cancel()
+	<-r.done
+}
+
+func (r *restartable) backendState() wire.BackendState {
+	r.server.mu.Lock()
+	defer r.server.mu.Unlock()
+
+	return r.server.core.Self().GetState()
+}
+
+func (r *restartable) knownNodes() int {
+	r.server.mu.Lock()
+	defer r.server.mu.Unlock()
+
+	return len(r.server.core.Entries())
+}
+
+// startNodes starts nodes in two data centres and returns them once they know each other.
+func startNodes(t *testing.T, count int) []*restartable {
+	t.Helper()
+
+	nodes := make([]*restartable, count)
+	seeds := make([]string, count)
+
+	for i := range seeds {
+		seeds[i] = freeAddress(t)
+	}
+
+	for i := range nodes {
+		nodes[i] = &restartable{t: t, settings: Settings{
+			Name: fmt.Sprintf("node-%d", i), DataCentre: fmt.Sprintf("dc%d", i%2), Service: "board", Address: seeds[i],
+			CallAddress: freeAddress(t), Controllers: []string{"127.0.0.1:1"}, Seeds: seeds, ConnectionsOptional: true,
+		}}
+		nodes[i].start()
+		t.Cleanup(func() { nodes[i].kill() })
+	}
+
+	require.Eventually(t, func() bool {
+		for _, n := range nodes {
+			if n.knownNodes() < count {
+				return false
+			}
+		}
+
+		return true
+	}, restartMaxWait, restartPoll)
+
+	return nodes
+}
+
+// TestRestartedNodeIgnoresLateAnnouncements guards against a node that acknowledges that its backend server leaves, is killed, and uses the
+// server again when an earlier announcement of it arrives.
+func TestRestartedNodeIgnoresLateAnnouncements(t *testing.T) {
+	ready := func(start int64, sequence uint64) registrar.Announcement {
+		return registrar.Announcement{
+			Address: "127.0.0.1:80", Service: "board", Slots: 4, State: "ready", Instance: "i-1", StartedAtMs: start, Sequence: sequence,
+		}
+	}
+	withdraw := func(s *Server) error { return s.Withdraw(context.Background(), "i-1", 100) }
+
+	cases := []struct {
+		name  string
+		leave func(s *Server) error
+		later registrar.Announcement
+		used  bool
+	}{
+		{"withdrawn", withdraw, ready(100, 2), false},
+		{"withdrawn without a start time", func(s *Server) error { return s.Withdraw(context.Background(), "i-1", 0) }, ready(100, 2), false},
+		{"draining", func(s *Server) error {
+			a := ready(100, 3)
+			a.State = "draining"
+			_, err := s.Announce(context.Background(), a)
+
+			return err
+		}, ready(100, 2), false},
+		{"another start of the same instance", withdraw, ready(101, 1), true},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			n := startNodes(t, 4)[1]
+
+			_, err := n.server.Announce(context.Background(), ready(100, 1))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return n.backendState() == wire.BackendState_BACKEND_STATE_READY }, restartMaxWait, restartPoll)
+			require.NoError(t, tc.leave(n.server))
+
+			n.kill()
+			n.start()
+
+			// The late announcement may arrive before the node has heard from its peers, and again afterwards.
+			_, err = n.server.Announce(context.Background(), tc.later)
+			require.NoError(t, err)
+			require.NotEqual(t, wire.BackendState_BACKEND_STATE_READY, n.backendState(), "used before the peers could tell of the withdrawal")
+
+			require.Eventually(t, func() bool {
+				n.server.mu.Lock()
+				defer n.server.mu.Unlock()
+
+				return n.server.core.Recovered()
+			}, restartMaxWait, restartPoll)
+
+			later := tc.later
+			later.Sequence++
+			if !tc.used {
+				later = tc.later
+			}
+
+			_, err = n.server.Announce(context.Background(), later)
+			require.NoError(t, err)
+			require.Equal(t, tc.used, n.backendState() == wire.BackendState_BACKEND_STATE_READY)
+		})
+	}
+}
--- a/process/nodeserver/step.go
+++ b/process/nodeserver/step.go
@@ -9,13 +9,22 @@
 
 // step advances the core by one input and carries out the resulting effects.
 func (s *Server) step(input node.Input) {
+	s.stepWith(func() node.Input { return input })
+}
+
+// stepWith is step for an input that depends on state which the lock guards.
+func (s *Server) stepWith(input func() node.Input) {
 	effects, err := s.advance(input)
 	if err != nil {
-		s.options.Log.Error(err, "an input was dropped because the node's core panicked", "input", fmt.Sprintf("%T", input))
+		s.options.Log.Error(err, "an input was dropped because the node's core panicked", "input", fmt.Sprintf("%T", input()))
 
 		return
 	}
 
+	for _, w := range effects.Restored {
+		s.options.Log.Info("withdrawal restored from a peer", "instance", w.Instance, "born", w.StartedAtMs, "sequence", w.Sequence)
+	}
+
 	s.vitals.record(effects)
 	s.ring.Record(effects.Events...)
 	s.transport.Send(effects.Messages...)
@@ -27,16 +36,26 @@
 	for _, token := range effects.FinishedCrashReports {
 		s.crashReports.resolve(token, struct{}{})
 	}
+
+	for _, r := range effects.Replicated {
+		s.replications.resolve(r.Token, r.Stored)
+	}
 }
 
 // advance advances the core and renews the routing table. A panic is returned as an error with its stack, so that one malformed message does
 // not end the process or leave the lock held; what the core knows of the fleet is renewed by later messages.
-func (s *Server) advance(input node.Input) (effects node.Effects, err error) {
+func (s *Server) advance(input func() node.Input) (effects node.Effects, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer runner.Recover(&err)
 
-	effects = s.core.Step(s.clock.Now(), input)
+	now := s.clock.Now()
+	effects = s.core.Step(now, input())
+
+	if len(effects.Restored) > 0 {
+		s.registrar.Restore(now, effects.Restored)
+	}
+
 	if effects.TableChanged {
 		s.rebuild()
 	}
