Wait for peers after a restart also where the settings name no nodes as seeds

On the users' platform a node finds its peers through the controllers and has no seeds, so that it used its server at once after a restart; only its peers' reminder came in time.

--- a/internal/fleettest/withdrawal_test.go
+++ b/internal/fleettest/withdrawal_test.go
@@ -106,36 +106,54 @@
 
 // TestWithdrawalIsRestoredBeforeRecovery guards against a restarted node that uses a server before it has heard that the server was withdrawn.
 func TestWithdrawalIsRestoredBeforeRecovery(t *testing.T) {
-	f, _ := settledFleet(t, 3, 5)
-	n := f.nodes[7]
-	require.True(t, f.withdraw(n, detector.Withdrawal{Instance: "i-1", StartedAtMs: 100, Sequence: detector.AllSequences}))
+	for _, seeds := range []bool{true, false} {
+		t.Run(fmt.Sprintf("seeds %t", seeds), func(t *testing.T) {
+			f, _ := settledFleet(t, 3, 5)
+			n := f.nodes[7]
+			require.True(t, f.withdraw(n, detector.Withdrawal{Instance: "i-1", StartedAtMs: 100, Sequence: detector.AllSequences}))
+
+			n.up = false
+			f.run(restartDelay)
+
+			if !seeds {
+				n.config.Seeds = nil
+			}
 
-	n.up = false
-	f.run(restartDelay)
-	f.startNode(n)
-	require.False(t, n.core.Recovered())
+			f.startNode(n)
+			require.False(t, n.core.Recovered())
 
-	f.until(detector.RecoveryTimeout, "the node has recovered", n.core.Recovered)
-	require.NotEmpty(t, n.restored)
+			took := f.until(detector.RecoveryTimeout, "the node has recovered", n.core.Recovered)
+			t.Logf("recovered after %d ms", took)
+			require.NotEmpty(t, n.restored)
+		})
+	}
 }
 
 // TestNodesThatRestartTogetherRecoverInTime bounds how long servers may stay unused after a restart of all nodes at once.
 func TestNodesThatRestartTogetherRecoverInTime(t *testing.T) {
-	f, _ := settledFleet(t, 3, 20)
-	for _, n := range f.nodes {
-		n.up = false
-	}
+	for _, seeds := range []bool{true, false} {
+		t.Run(fmt.Sprintf("seeds %t", seeds), func(t *testing.T) {
+			f, _ := settledFleet(t, 3, 20)
+			for _, n := range f.nodes {
+				n.up = false
+			}
 
-	f.run(restartDelay)
+			f.run(restartDelay)
 
-	for _, n := range f.nodes {
-		f.startNode(n)
-	}
+			for _, n := range f.nodes {
+				if !seeds {
+					n.config.Seeds = nil
+				}
 
-	took := f.until(detector.RecoveryTimeout+2*stepMs, "all nodes have recovered", func() bool {
-		return !slices.ContainsFunc(f.nodes, func(n *testNode) bool { return !n.core.Recovered() })
-	})
-	t.Logf("all nodes had recovered after %d ms", took)
+				f.startNode(n)
+			}
+
+			took := f.until(detector.RecoveryTimeout+2*stepMs, "all nodes have recovered", func() bool {
+				return !slices.ContainsFunc(f.nodes, func(n *testNode) bool { return !n.core.Recovered() })
+			})
+			t.Logf("all nodes had recovered after %d ms", took)
+		})
+	}
 }
 
 // TestWithdrawalIsStoredOutsideTheDataCentreOrNotAcknowledged guards against an acknowledgement that only the node itself remembers.
--- a/membership/detector/withdrawal.go
+++ b/membership/detector/withdrawal.go
@@ -93,7 +93,7 @@
 
 // Recovered reports whether a peer has told the node what it remembers of the node's previous process, or whether the wait for one is over.
 func (c *Core) Recovered() bool {
-	return c.contacted || len(c.seeds) == 0 || (c.startedAt > 0 && c.now >= c.startedAt+RecoveryTimeout)
+	return c.contacted || (c.startedAt > 0 && c.now >= c.startedAt+RecoveryTimeout)
 }
 
 // restore adds to the node's own entry the withdrawals that only its peers remember from its previous process.
