Ignore membership entries that no node can have issued

Reported by other operators: after one odd entry of another writer, machines stopped following the list. Here an entry of a live node with the largest incarnation or sequence could not be refuted: the owner's next number overflowed to 0, so that all nodes ignored what it reported or took it for dead. Entries of any size were kept and spread.

Addresses of messages are parsed instead of resolved, so that an odd one causes no name lookup. Refused entries appear as entry_refused.

--- a/event.go
+++ b/event.go
@@ -46,6 +46,7 @@
 	EventVoted
 	EventJoinRequested
 	EventRateLimited
+	EventEntryRefused
 )
 
 // Event is one entry of the timeline; the recorder adds the time and the process.
--- a/eventkind_enumer.go
+++ b/eventkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _EventKindName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lostmembershipcampaignvotedjoin_requestedrate_limited"
+const _EventKindName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lostmembershipcampaignvotedjoin_requestedrate_limitedentry_refused"
 
-var _EventKindIndex = [...]uint16{0, 7, 14, 21, 33, 43, 57, 65, 73, 80, 87, 95, 104, 115, 120, 129, 134, 141, 145, 154, 158, 164, 171, 178, 182, 189, 200, 206, 218, 230, 241, 250, 256, 262, 271, 281, 289, 294, 308, 320}
+var _EventKindIndex = [...]uint16{0, 7, 14, 21, 33, 43, 57, 65, 73, 80, 87, 95, 104, 115, 120, 129, 134, 141, 145, 154, 158, 164, 171, 178, 182, 189, 200, 206, 218, 230, 241, 250, 256, 262, 271, 281, 289, 294, 308, 320, 333}
 
-const _EventKindLowerName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lostmembershipcampaignvotedjoin_requestedrate_limited"
+const _EventKindLowerName = "startedstoppedelectedstepped_downlease_lostmember_changedacceptedconflictrefusedappliedrejectedconfirmedunconfirmedrelayannouncedreadydrainedgonesuspecteddiedjoinedejectedretriedshedcrashedquarantinedliftedclaim_placedclaim_fenceddisk_failedrecoveredbehindpulledpull_lostmembershipcampaignvotedjoin_requestedrate_limitedentry_refused"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -63,9 +63,10 @@
 	_ = x[EventVoted-(36)]
 	_ = x[EventJoinRequested-(37)]
 	_ = x[EventRateLimited-(38)]
+	_ = x[EventEntryRefused-(39)]
 }
 
-var _EventKindValues = []EventKind{EventStarted, EventStopped, EventElected, EventSteppedDown, EventLeaseLost, EventMemberChanged, EventAccepted, EventConflict, EventRefused, EventApplied, EventRejected, EventConfirmed, EventUnconfirmed, EventRelay, EventAnnounced, EventReady, EventDrained, EventGone, EventSuspected, EventDied, EventJoined, EventEjected, EventRetried, EventShed, EventCrashed, EventQuarantined, EventLifted, EventClaimPlaced, EventClaimFenced, EventDiskFailed, EventRecovered, EventBehind, EventPulled, EventPullLost, EventMembership, EventCampaign, EventVoted, EventJoinRequested, EventRateLimited}
+var _EventKindValues = []EventKind{EventStarted, EventStopped, EventElected, EventSteppedDown, EventLeaseLost, EventMemberChanged, EventAccepted, EventConflict, EventRefused, EventApplied, EventRejected, EventConfirmed, EventUnconfirmed, EventRelay, EventAnnounced, EventReady, EventDrained, EventGone, EventSuspected, EventDied, EventJoined, EventEjected, EventRetried, EventShed, EventCrashed, EventQuarantined, EventLifted, EventClaimPlaced, EventClaimFenced, EventDiskFailed, EventRecovered, EventBehind, EventPulled, EventPullLost, EventMembership, EventCampaign, EventVoted, EventJoinRequested, EventRateLimited, EventEntryRefused}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:7]:     EventStarted,
@@ -107,6 +108,7 @@
 	_EventKindName[289:294]: EventVoted,
 	_EventKindName[294:308]: EventJoinRequested,
 	_EventKindName[308:320]: EventRateLimited,
+	_EventKindName[320:333]: EventEntryRefused,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -149,6 +151,7 @@
 	_EventKindLowerName[289:294]: EventVoted,
 	_EventKindLowerName[294:308]: EventJoinRequested,
 	_EventKindLowerName[308:320]: EventRateLimited,
+	_EventKindLowerName[320:333]: EventEntryRefused,
 }
 
 var _EventKindNames = []string{
@@ -191,6 +194,7 @@
 	_EventKindName[289:294],
 	_EventKindName[294:308],
 	_EventKindName[308:320],
+	_EventKindName[320:333],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -143,6 +143,10 @@
 	nextPushAt    map[string]tiller.Millis
 	gossipPending bool
 
+	// checkAddress returns an error for an address that no node has; nil allows all.
+	checkAddress func(address string) error
+	// refusalEventAt is the earliest time of the next event about a refused entry.
+	refusalEventAt tiller.Millis
 	// replications are in progress.
 	replications []*replication
 	// startedAt is the time of the first step.
@@ -155,13 +159,17 @@
 
 // New returns a core that knows only itself. The incarnation must grow with each start; a smaller one is corrected as soon
 // as a peer replies with a larger one.
-func New(self *wire.NodeEntry, seeds []tiller.Address, random *rand.Rand) *Core {
+func New(self *wire.NodeEntry, seeds []tiller.Address, random *rand.Rand, options ...Option) *Core {
 	c := &Core{
 		self: self, seeds: seeds, random: random, table: newTable(),
 		relayed: map[uint64]relayedProbe{}, nextPushAt: map[string]tiller.Millis{},
 	}
 	c.table.put(self, 0)
 
+	for _, o := range options {
+		o(c)
+	}
+
 	return c
 }
 
--- a/membership/detector/receive.go
+++ b/membership/detector/receive.go
@@ -124,9 +124,12 @@
 	}
 }
 
-// merge adopts an entry that is newer than the known one. An entry of this node is refuted instead.
+// merge adopts an entry that is newer than the known one. An entry of this node is refuted instead. One that no node can have issued is
+// ignored.
 func (c *Core) merge(e *wire.NodeEntry) {
-	if e.GetName() == "" || e.GetDataCentre() == "" {
+	if err := c.checkEntry(e); err != nil {
+		c.refuseEntry(e, err)
+
 		return
 	}
 
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -22,6 +22,8 @@
 	Service     tiller.Service
 	Controllers []tiller.Address
 	Seeds       []tiller.Address
+	// CheckAddress returns an error for an address that no node has; nil allows all.
+	CheckAddress func(address string) error
 }
 
 // Effects is what the caller must do after a step.
@@ -134,7 +136,7 @@
 
 	c := &Core{
 		config: config, crashRecords: crashRecords,
-		detector:   detector.New(self, config.Seeds, random),
+		detector:   detector.New(self, config.Seeds, random, detector.WithAddressCheck(config.CheckAddress)),
 		subscriber: subscriber.New(config.Name, config.Address, config.DataCentre, config.Controllers, random),
 		claimant:   claimer.NewClaimant(config.Address),
 		strikes:    newStrikeTracker(random),
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -125,6 +125,7 @@
 		Name: settings.Name, DataCentre: dc, Address: tiller.Address(settings.Address),
 		CallAddress: tiller.Address(settings.CallAddress), Service: tiller.Service(settings.Service),
 		Controllers: transporter.Addresses(settings.Controllers), Seeds: transporter.Addresses(settings.Seeds),
+		CheckAddress: transporter.CheckAddress,
 	}, uint64(time.Now().UnixMilli()), s.crashRecords, newRandom())
 
 	if err := s.listen(); err != nil {
--- a/process/transporter/transporter.go
+++ b/process/transporter/transporter.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -259,12 +260,15 @@
 		}
 	}
 
-	a, err := net.ResolveUDPAddr("udp", to)
-	if err == nil {
-		t.resolved.Store(to, a)
+	p, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return nil, err
 	}
 
-	return a, err
+	a := net.UDPAddrFromAddrPort(p)
+	t.resolved.Store(to, a)
+
+	return a, nil
 }
 
 // DeliveryTimeout returns the maximum time for delivering a message of the given size in bytes over TCP.
