Refuse announcements that no server of the VM can have made

Reported by other operators as odd entries. Probes on the code before: port 0, an address on another VM and born were accepted and took the worker's place for a lease; sequence under the worker's own id was accepted, and its later announcements were ignored until it started again.

Cause: the registrar checked the form of the fields only. Now the port, the host, the start, the sequence and the length of the instance are bounded, for deregistrations too; a sequence that was believed wrongly is given up once the lease has expired and lower sequences keep growing.

--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/rotisserie/eris"
+
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
@@ -20,6 +22,12 @@
 	MaxConnections = 100_000
 	// MaxColdStart is the maximum announced duration of a cold start.
 	MaxColdStart = 10 * tiller.Minute
+	// MaxSequence is the maximum number of an announcement.
+	MaxSequence = 1 << 53
+	// MaxInstanceBytes is the maximum length of an instance.
+	MaxInstanceBytes = 256
+	// MaxClockLead is how far the start of a server may lie ahead of the node's wall clock, which may have been set back since.
+	MaxClockLead = 24 * tiller.Hour
 
 	// refusalPeriod is how long a refused connection overrides announcements.
 	refusalPeriod = tiller.Second
@@ -67,6 +75,12 @@
 // WithDrainLinger sets how long a draining server still accepts requests, since other nodes send some before they learn that it drains.
 func WithDrainLinger(linger tiller.Millis) Option { return func(c *Core) { c.drainLinger = linger } }
 
+// WithWallClock refuses starts that lie more than MaxClockLead ahead of a clock.
+func WithWallClock(clock tiller.Clock) Option { return func(c *Core) { c.wall = clock } }
+
+// WithHost refuses announcements of servers on another host.
+func WithHost(host netip.Addr) Option { return func(c *Core) { c.host = host.Unmap() } }
+
 // WithOptionalConnections allows announcements without a number of connections.
 func WithOptionalConnections() Option { return func(c *Core) { c.connectionsOptional = true } }
 
@@ -76,6 +90,10 @@
 	lease               tiller.Millis
 	drainLinger         tiller.Millis
 	connectionsOptional bool
+	// wall is the VM's wall clock, nil if starts are not compared with it.
+	wall tiller.Clock
+	// host is where the server runs, the zero value if any host is allowed.
+	host netip.Addr
 
 	current        Announcement
 	state          wire.BackendState
@@ -83,8 +101,10 @@
 	announcedAt    tiller.Millis
 	drainingSince  tiller.Millis
 	coldUntil      tiller.Millis
-	refusedAt      tiller.Millis
-	refused        bool
+	// lowSequence is the largest sequence that was ignored as too low since the latest announcement.
+	lowSequence uint64
+	refusedAt   tiller.Millis
+	refused     bool
 	// withdrawals are the starts that are leaving, the latest last.
 	withdrawals []withdrawal
 }
@@ -132,6 +152,7 @@
 	c.rememberLeaving(now, a)
 
 	c.current = a
+	c.lowSequence = 0
 	c.announcedAt = now
 	c.leaseExpiresAt = now + c.lease
 
@@ -158,12 +179,25 @@
 	}
 
 	if c.sameStart(a) {
-		return a.Sequence > 0 && a.Sequence <= c.current.Sequence
+		return a.Sequence > 0 && a.Sequence <= c.current.Sequence && !c.sequenceRestarted(now, a)
 	}
 
 	return a.StartedAtMs < c.current.StartedAtMs && now < c.leaseExpiresAt
 }
 
+// sequenceRestarted reports whether the known sequence is not the server's own, so that its announcements would be ignored for ever: after the
+// lease has expired, announcements with lower sequences still grow.
+func (c *Core) sequenceRestarted(now tiller.Millis, a Announcement) bool {
+	if a.Sequence == c.current.Sequence {
+		return false
+	}
+
+	grows := c.lowSequence > 0 && a.Sequence > c.lowSequence
+	c.lowSequence = max(c.lowSequence, a.Sequence)
+
+	return grows && now >= c.leaseExpiresAt
+}
+
 // Withdraw marks one start of the server as draining: it may complete its running requests, but gets no new ones after the drain
 // linger. Later announcements of that start are ignored if they name its instance. If startedAtMs is zero, the latest announced start
 // is meant.
@@ -207,8 +241,18 @@
 
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
 
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+	if address, err := netip.ParseAddrPort(a.Address); err != nil || address.Port() == 0 {
 		fault("address: %q is not an IP address with a port", a.Address)
+	} else if c.host.IsValid() && address.Addr().Unmap() != c.host {
+		fault("address: %q; the server of this node runs on %s", a.Address, c.host)
+	}
+
+	if len(a.Instance) > MaxInstanceBytes {
+		fault("instance: %d bytes; allowed are %d", len(a.Instance), MaxInstanceBytes)
+	}
+
+	if a.Sequence > MaxSequence {
+		fault("sequence: %d; the maximum is %d", a.Sequence, uint64(MaxSequence))
 	}
 
 	if a.Service != string(c.service) {
@@ -223,8 +267,8 @@
 		fault("connections: %d; allowed are %d to %d", a.Connections, lowest, MaxConnections)
 	}
 
-	if a.StartedAtMs < 0 {
-		fault("born: %d is not a Unix time in milliseconds", a.StartedAtMs)
+	if err := c.CheckStart(a.StartedAtMs); err != nil {
+		fault("born: %s", err)
 	}
 
 	if a.ColdMs < 0 || a.ColdMs > int64(MaxColdStart) {
@@ -239,6 +283,18 @@
 	return state, faults
 }
 
+// CheckStart returns an error unless a time in Unix milliseconds can be that of a start.
+func (c *Core) CheckStart(startedAtMs int64) error {
+	switch {
+	case startedAtMs < 0:
+		return eris.Errorf("%d is not a Unix time in milliseconds", startedAtMs)
+	case c.wall != nil && startedAtMs > int64(c.wall.Now()+MaxClockLead):
+		return eris.Errorf("%d is in the future", startedAtMs)
+	default:
+		return nil
+	}
+}
+
 func (c *Core) minConnections() int {
 	if c.connectionsOptional {
 		return 0
--- a/membership/registrar/registrar_test.go
+++ b/membership/registrar/registrar_test.go
@@ -250,3 +250,38 @@
 	c.Announce(60_010, announcement("a", 90, 1, "ready"))
 	require.True(t, c.Accepts(60_011), "the server started again after its VM's clock was set back")
 }
+
+// TestSequenceOfAnotherWriter guards against one announcement with a sequence far ahead, after which the server's own would be ignored until it
+// starts again.
+func TestSequenceOfAnotherWriter(t *testing.T) {
+	c := registrar.New("board")
+	c.Announce(0, announcement("a", 100, 7, "ready"))
+	c.Announce(10, announcement("a", 100, registrar.MaxSequence, "ready"))
+
+	for i := range uint64(4) {
+		c.Announce(tiller.Millis(1000+1000*i), announcement("a", 100, 8+i, "ready"))
+	}
+
+	require.True(t, c.Accepts(4100), "the server's own announcements count again after the lease of the odd one")
+
+	for _, tc := range []struct {
+		name      string
+		sequences []uint64
+	}{
+		{"one late announcement", []uint64{5}},
+		{"late announcements out of order", []uint64{5, 4, 3}},
+		{"copies of the latest announcement", []uint64{7, 7, 7}},
+		{"copies of one announcement", []uint64{5, 5, 5}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := registrar.New("board")
+			c.Announce(0, announcement("a", 100, 7, "ready"))
+
+			for i, sequence := range tc.sequences {
+				c.Announce(registrar.DefaultLease+tiller.Millis(i), announcement("a", 100, sequence, "ready"))
+			}
+
+			require.False(t, c.Accepts(registrar.DefaultLease+10))
+		})
+	}
+}
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -205,6 +205,9 @@
 // over a restart.
 var ErrNotReplicated = eris.New("too few other nodes could be told that the backend server leaves")
 
+// ErrInvalidWithdrawal means that a withdrawal was refused because no start of a server can be meant.
+var ErrInvalidWithdrawal = eris.New("the withdrawal names no possible start of a server")
+
 // Announce applies an announcement of the backend server, or returns every fault in it and applies nothing. It returns ErrNotReplicated if
 // the server leaves and that may be forgotten when this node restarts.
 func (s *Server) Announce(ctx context.Context, a registrar.Announcement) ([]string, error) {
@@ -232,9 +235,17 @@
 }
 
 // Withdraw records that one instance of the backend server is leaving; born is the instance's start in Unix milliseconds, zero if unknown.
-// It returns ErrNotReplicated if that may be forgotten when this node restarts.
+// It returns ErrInvalidWithdrawal if no server can have such a start, and ErrNotReplicated if the withdrawal may be forgotten when this node
+// restarts.
 func (s *Server) Withdraw(ctx context.Context, instance string, born int64) error {
 	s.mu.Lock()
+
+	if err := s.registrar.CheckStart(born); err != nil || len(instance) > registrar.MaxInstanceBytes {
+		s.mu.Unlock()
+
+		return eris.Wrapf(ErrInvalidWithdrawal, "instance of %d bytes, born %d", len(instance), born)
+	}
+
 	if born == 0 && instance != s.registrar.Instance() {
 		// A node that has restarted may not know the instance. All its starts up to now are meant.
 		born = time.Now().UnixMilli()
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,7 +139,7 @@
 }
 
 func newRegistrar(settings Settings) *registrar.Core {
-	options := []registrar.Option{registrar.WithDrainLinger(tiller.Millis(settings.DrainLingerMs))}
+	options := []registrar.Option{registrar.WithDrainLinger(tiller.Millis(settings.DrainLingerMs)), registrar.WithWallClock(tiller.WallClock())}
 	if settings.AnnounceLeaseMs > 0 {
 		options = append(options, registrar.WithLease(tiller.Millis(settings.AnnounceLeaseMs)))
 	}
@@ -147,6 +148,10 @@
 		options = append(options, registrar.WithOptionalConnections())
 	}
 
+	if backend, err := netip.ParseAddrPort(settings.BackendAddress); err == nil {
+		options = append(options, registrar.WithHost(backend.Addr()))
+	}
+
 	return registrar.New(tiller.Service(settings.Service), options...)
 }
 
