Take no late copy of a refusal for the answer to another request

The request ran, and a second worker ran it too.

Cause: an answer without an id matched any request, and one with an id matched a second try of its request on the same connection. Ruled out: bytes that were there before the connection was used again.

Now an unnamed answer counts only on a connection without earlier requests, a request is not sent again on a connection that has carried its id, and a request without an id gets a connection of its own.

--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -34,13 +34,24 @@
 	Rest io.Reader
 	// Length is the body's length in bytes, negative if unknown.
 	Length int64
-	// Matches reports whether a response with the given headers belongs to this request; nil accepts every response.
+	// ID identifies the request to the server, empty if it has none. It is not sent again on a connection that has carried it, since a late copy
+	// of the first response would match.
+	ID string
+	// Matches reports whether a response with the given headers may belong to this request; nil accepts every response.
 	Matches func(h http.Header) bool
-	// Identifies reports whether a matching response names this request; nil accepts every response. The connection of one that does not is
-	// closed, since a late second copy of it would match a later request.
+	// Identifies reports whether a matching response names this request; nil accepts every response. One that does not is accepted only on a
+	// connection without earlier requests, where it cannot be a copy of an earlier response. The connection is closed afterwards.
 	Identifies func(h http.Header) bool
 }
 
+// unidentifiable reports whether no response can name the request, although servers are expected to.
+func (r Request) unidentifiable() bool {
+	return r.ID == "" && r.Identifies != nil && !r.Identifies(http.Header{})
+}
+
+// identifies reports whether a response names the request.
+func (r Request) identifies(h http.Header) bool { return r.Identifies == nil || r.Identifies(h) }
+
 // Response is the head of a response with its unread body, which the caller must close.
 type Response struct {
 	Status int
@@ -76,12 +87,13 @@
 // Do sends a request, without retries, and returns the head of its response. When the context ends, the connection is closed so that the
 // server can stop working on the request.
 func (x *Exchanger) Do(ctx context.Context, r Request) (*Response, *ExchangeError) {
-	c, err := x.get(ctx, r.To)
+	c, err := x.get(ctx, r)
 	if err != nil {
 		return nil, &ExchangeError{err: err, refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 
 	e := &exchange{pool: x, conn: c, request: r, out: x.options.Shaper.Writer(ctx, c.writer)}
+	c.recordSent(r.ID)
 	e.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 
 	resp, failure := e.run()
@@ -119,8 +131,7 @@
 	}
 
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	identified := e.request.Identifies == nil || e.request.Identifies(resp.Header)
-	response.Body = &responseBody{Reader: resp.Body, exchange: e, reusable: identified && !resp.Close && resp.ContentLength >= -1}
+	response.Body = &responseBody{Reader: resp.Body, exchange: e, reusable: e.request.identifies(resp.Header) && !resp.Close && resp.ContentLength >= -1}
 
 	if timeout, ok := keepAliveTimeout(resp.Header); ok {
 		e.conn.idleTimeout = max(timeout-idleMargin, 0)
@@ -277,7 +288,7 @@
 			continue
 		}
 
-		if e.request.Matches == nil || e.request.Matches(resp.Header) {
+		if e.accepts(resp.Header) {
 			return resp, responded, nil
 		}
 
@@ -289,6 +300,13 @@
 	return nil, responded, ErrNoMatchingResponse
 }
 
+// accepts reports whether a response belongs to this request. On a connection that has carried other requests it must name this one.
+func (e *exchange) accepts(h http.Header) bool {
+	matches := e.request.Matches == nil || e.request.Matches(h)
+
+	return matches && (e.conn.sent == 1 || e.request.identifies(h))
+}
+
 // discardBody reads the body of a response to another request. It is bounded, since an endless body would block the call until its deadline.
 func discardBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxUnmatchedBytes+1))
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -47,6 +48,8 @@
 	maxUnmatched = 4
 	// maxUnmatchedBytes is the largest body of a response to another request that is discarded to keep the connection.
 	maxUnmatchedBytes = 256 << 10
+	// maxRecentIDs bounds the ids that are remembered of the requests on a connection.
+	maxRecentIDs = 32
 )
 
 // Options configure an Exchanger.
@@ -106,22 +109,30 @@
 	to          tiller.Address
 	idleSince   time.Time
 	idleTimeout time.Duration
-	used        bool
+	// sent is the number of requests that were sent on the connection, and recentIDs are the ids of the last of them.
+	sent      int
+	recentIDs []string
 }
 
-// get returns the most recently used idle connection that is still usable, or opens one.
-func (x *Exchanger) get(ctx context.Context, to tiller.Address) (*conn, error) {
+// get returns the most recently used idle connection that is still usable, or opens one. A request whose answer could be confused with a late
+// copy of an earlier one gets a new connection.
+func (x *Exchanger) get(ctx context.Context, r Request) (*conn, error) {
+	to := r.To
 	if x.options.Filter != nil && !x.options.Filter(to) {
 		return nil, eris.Errorf("no connection to %s", to)
 	}
 
+	if r.unidentifiable() {
+		return x.dial(ctx, to)
+	}
+
 	for {
 		c := x.pop(to)
 		if c == nil {
 			return x.dial(ctx, to)
 		}
 
-		if time.Since(c.idleSince) < c.idleTimeout && c.usable() {
+		if !c.hasSent(r.ID) && time.Since(c.idleSince) < c.idleTimeout && c.usable() {
 			return c, nil
 		}
 
@@ -164,7 +175,6 @@
 
 // put returns a connection to the pool.
 func (x *Exchanger) put(c *conn) {
-	c.used = true
 	c.idleSince = time.Now()
 
 	x.mu.Lock()
@@ -223,6 +233,24 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// hasSent reports whether a request with the id was among the last ones on the connection.
+func (c *conn) hasSent(id string) bool { return id != "" && slices.Contains(c.recentIDs, id) }
+
+// recordSent counts a request that is about to be sent.
+func (c *conn) recordSent(id string) {
+	c.sent++
+
+	if id == "" {
+		return
+	}
+
+	if len(c.recentIDs) >= maxRecentIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+
+	c.recentIDs = append(c.recentIDs, id)
+}
+
 // close closes the connection. Its error is ignored since the peer may already have closed it.
 func (c *conn) close() { _ = c.raw.Close() }
 
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -323,7 +323,7 @@
 	done := measure(f.stages.worker)
 	x, failed := f.BackendExchanger.Do(ctx, exchanger.Request{
 		To: target.address, Method: q.method, Target: q.target, Host: q.host, Header: header,
-		Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length,
+		ID: q.id, Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length,
 		Matches:    func(h http.Header) bool { return f.Dialect.Matches(h, terms) },
 		Identifies: func(h http.Header) bool { return f.Dialect.Identifies(h, terms) },
 	})
