Count crashes by calling service on the users' platform

Cause: the digest of a request left out the calling service, so that each answer to the harmless request lifted the strikes of the crashing one. The other direction, a harmless request that is refused, had the same cause.

It stays off elsewhere, where a caller may go on through nodes of another service.

--- a/calls/forwarder/call.go
+++ b/calls/forwarder/call.go
@@ -9,7 +9,6 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
-	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/retrier"
 	"gitlab.com/sycamoretiller/sycamoretiller/document/compiler"
 )
@@ -62,7 +61,7 @@
 	}
 
 	q.body = body
-	q.digest = quarantiner.DigestOf(q.method, q.target, q.key, body.buffered)
+	q.digest = f.digestOf(q)
 
 	return c, nil
 }
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -100,6 +100,9 @@
 	Dialect tiller.Dialect
 	// Splitter divides the calls of a route among its services.
 	Splitter *balancer.Splitter
+	// QuarantineByCaller makes the calling service part of a request's identity, so that the same request of another service neither is refused
+	// for its crashes nor lifts its quarantine.
+	QuarantineByCaller bool
 	// ConfirmCrashes makes a broken connection count as a crash only if the server's port refuses connections afterwards.
 	ConfirmCrashes bool
 	// Log receives one line for each decision on a call.
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -227,7 +227,7 @@
 
 	close(crashed)
 	senders.Wait()
-	require.Equal(t, 1, nodes[0].crashRecords.Strikes(quarantiner.DigestOf("PUT", "/calls/7", "", []byte("the same body"))))
+	require.Equal(t, 1, nodes[0].crashRecords.Strikes(quarantiner.DigestOf("PUT", "/calls/7", "", "", []byte("the same body"))))
 
 	send(t, nodes[0], "PUT", "/calls/7", "", "the same body")
 	require.Equal(t, copies+1, runs(nodes), "one crash does not quarantine a request")
@@ -301,6 +301,48 @@
 	}
 }
 
+// TestRequestOfAnotherCallerIsAnotherRequest guards against a harmless request that lifts the strikes of a crashing one, or is refused for its
+// crashes, although it comes from another service.
+func TestRequestOfAnotherCallerIsAnotherRequest(t *testing.T) {
+	nodes := newNodes(t, func(w http.ResponseWriter, r *http.Request) { ok(w, r) }, ok)
+	server := nodes[0]
+	server.forward.QuarantineByCaller = true
+	server.backend.handle = func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Caller") == "crashing" {
+			crash(w, r)
+		} else {
+			ok(w, r)
+		}
+	}
+
+	hop := func(origin string) string {
+		r, err := http.NewRequest(http.MethodPut, server.server.URL+"/calls/1", strings.NewReader("the same body"))
+		require.NoError(t, err)
+
+		for name, value := range map[string]string{
+			forwarder.HeaderTo: string(server.name), forwarder.HeaderService: "board", forwarder.HeaderOrigin: origin,
+			forwarder.HeaderAttempt: "a1", forwarder.HeaderDeadline: "2000", forwarder.HeaderRoute: "change", "X-Caller": origin,
+		} {
+			r.Header.Set(name, value)
+		}
+
+		resp, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+
+		defer resp.Body.Close()
+
+		return resp.Header.Get(forwarder.HeaderReason)
+	}
+
+	for range 2 {
+		require.Equal(t, "backend_failed", hop("crashing"))
+		require.Empty(t, hop("harmless"), "served")
+	}
+
+	require.Equal(t, "quarantined", hop("crashing"), "the answers to the other caller lift no strikes")
+	require.Empty(t, hop("harmless"), "the crashes of the other caller's request do not count")
+}
+
 func TestDrainingWorkerRefusesAndAnotherServes(t *testing.T) {
 	nodes := newNodes(t, ok, ok, ok)
 	nodes[1].state = wire.BackendState_BACKEND_STATE_DRAINING
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -94,15 +94,27 @@
 
 	terms := f.Dialect.Terms(r.Header)
 
-	return &request{
+	q := &request{
 		method: r.Method, target: rawTarget(r), host: r.Host, header: endToEnd(r.Header), body: body,
 		route: r.Header.Get(HeaderRoute), service: f.Service, origin: tiller.Service(r.Header.Get(HeaderOrigin)),
 		priority: int(headerInt(r.Header, HeaderPriority, 0)), softDeadline: parseSoftDeadline(f.Clock.Now(), r.Header), deadline: deadline,
 		atMostOnce: r.Header.Get(HeaderAtMostOnce) != "", noWait: r.Header.Get(HeaderNoWait) != "",
 		id: terms.ID(), key: terms.Key(), attempt: r.Header.Get(HeaderAttempt), cause: cmp.Or(r.Header.Get(HeaderCause), terms.ID()),
 		retriesLeft: int(headerInt(r.Header, HeaderRetriesLeft, defaultChainRetries)), strikes: int(headerInt(r.Header, HeaderStrikes, 0)),
-		digest: quarantiner.DigestOf(r.Method, rawTarget(r), terms.Key(), body.buffered),
-	}, nil
+	}
+	q.digest = f.digestOf(q)
+
+	return q, nil
+}
+
+// digestOf returns the digest by which crashes of backend servers are counted for a request.
+func (f *Forwarder) digestOf(q *request) quarantiner.Digest {
+	caller := ""
+	if f.QuarantineByCaller {
+		caller = string(q.origin)
+	}
+
+	return quarantiner.DigestOf(q.method, q.target, q.key, caller, q.body.buffered)
 }
 
 // parseSoftDeadline returns the soft deadline of an attempt, zero if unknown.
@@ -228,7 +240,7 @@
 		return nil, err
 	}
 
-	digest := []byte(quarantiner.DigestOf(q.method, q.target, "", q.body.buffered))
+	digest := []byte(quarantiner.DigestOf(q.method, q.target, "", "", q.body.buffered))
 
 	result := f.Claims.Acquire(ctx, key, digest, q.attempt)
 	if result.Verdict() != wire.ClaimVerdict_CLAIM_VERDICT_GRANTED {
--- a/calls/quarantiner/quarantiner.go
+++ b/calls/quarantiner/quarantiner.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strconv"
 	"sync"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -20,14 +21,19 @@
 type Digest string
 
 // DigestOf returns the digest of a request. A request with an idempotency key is identified by the key alone, any other by its method,
-// target and body. The digest does not depend on the node that received the request, so that a resend through another node is recognised.
-func DigestOf(method, target, key string, body []byte) Digest {
+// target, body and caller. The caller is empty if the same request of another caller counts as a resend. The digest does not depend on the node
+// that received the request, so that a resend through another node is recognised.
+func DigestOf(method, target, key, caller string, body []byte) Digest {
 	h := sha256.New()
 	if key != "" {
 		h.Write([]byte(key))
 	} else {
 		h.Write([]byte(method + " " + target + "\n"))
 		h.Write(body)
+
+		if caller != "" {
+			h.Write([]byte("\n" + caller + "\n" + strconv.Itoa(len(body))))
+		}
 	}
 
 	return Digest(h.Sum(nil)[:digestBytes])
--- a/calls/quarantiner/quarantiner_test.go
+++ b/calls/quarantiner/quarantiner_test.go
@@ -10,22 +10,23 @@
 )
 
 func TestDigestDistinguishesRequests(t *testing.T) {
-	base := quarantiner.DigestOf("PUT", "/calls/1", "", []byte("body"))
+	base := quarantiner.DigestOf("PUT", "/calls/1", "", "", []byte("body"))
 
-	require.Equal(t, base, quarantiner.DigestOf("PUT", "/calls/1", "", []byte("body")))
+	require.Equal(t, base, quarantiner.DigestOf("PUT", "/calls/1", "", "", []byte("body")))
 
 	others := map[string]quarantiner.Digest{
-		"method": quarantiner.DigestOf("POST", "/calls/1", "", []byte("body")),
-		"target": quarantiner.DigestOf("PUT", "/calls/2", "", []byte("body")),
-		"key":    quarantiner.DigestOf("PUT", "/calls/1", "key", []byte("body")),
-		"body":   quarantiner.DigestOf("PUT", "/calls/1", "", []byte("bodies")),
+		"method": quarantiner.DigestOf("POST", "/calls/1", "", "", []byte("body")),
+		"target": quarantiner.DigestOf("PUT", "/calls/2", "", "", []byte("body")),
+		"key":    quarantiner.DigestOf("PUT", "/calls/1", "key", "", []byte("body")),
+		"caller": quarantiner.DigestOf("PUT", "/calls/1", "", "board", []byte("body")),
+		"body":   quarantiner.DigestOf("PUT", "/calls/1", "", "", []byte("bodies")),
 	}
 	for part, d := range others {
 		require.NotEqual(t, base, d, part)
 	}
 
-	keyed := quarantiner.DigestOf("PUT", "/calls/1", "key", nil)
-	require.Equal(t, keyed, quarantiner.DigestOf("POST", "/calls/2", "key", []byte("body")))
+	keyed := quarantiner.DigestOf("PUT", "/calls/1", "key", "", nil)
+	require.Equal(t, keyed, quarantiner.DigestOf("POST", "/calls/2", "key", "", []byte("body")))
 }
 
 // TestConcurrentReportsOfACrashRaiseTheStrikesOnce reports the same total from several goroutines, as the attempts and answers of a call
@@ -37,7 +38,7 @@
 	)
 
 	r := quarantiner.NewRegistry()
-	d := quarantiner.DigestOf("GET", "/calls/1", "", nil)
+	d := quarantiner.DigestOf("GET", "/calls/1", "", "", nil)
 
 	var reports sync.WaitGroup
 
--- a/process/node/strike_test.go
+++ b/process/node/strike_test.go
@@ -15,8 +15,8 @@
 // TestCopiesOfARequestGetOneStrikeInACrash guards against the quarantine of a request that was in flight more than once when another
 // request crashed the backend server.
 func TestCopiesOfARequestGetOneStrikeInACrash(t *testing.T) {
-	crashed := quarantiner.DigestOf("GET", "/profiles/7", "", nil)
-	other := quarantiner.DigestOf("GET", "/profiles/8", "", nil)
+	crashed := quarantiner.DigestOf("GET", "/profiles/7", "", "", nil)
+	other := quarantiner.DigestOf("GET", "/profiles/8", "", "", nil)
 
 	cases := []struct {
 		name    string
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -189,7 +189,8 @@
 		Claims: (*claimAdapter)(s), CrashReporter: (*crashReporterAdapter)(s), BackendServer: (*backendServerAdapter)(s),
 		NodeExchanger: s.nodeExchanger, BackendExchanger: s.backendExchanger, Recorder: s.ring, Metrics: s.options.Metrics,
 		Service: tiller.Service(s.settings.Service),
-		Dialect: s.dialect(), Splitter: s.splitter, ConfirmCrashes: s.settings.ConfirmCrashes, Log: s.options.Log,
+		Dialect: s.dialect(), Splitter: s.splitter, ConfirmCrashes: s.settings.ConfirmCrashes,
+		QuarantineByCaller: s.settings.QuarantineByCaller, Log: s.options.Log,
 		ContactAge: s.contactAge, LinkWait: s.link.QueueDelay,
 	})
 
--- a/process/nodeserver/settings.go
+++ b/process/nodeserver/settings.go
@@ -37,6 +37,8 @@
 	AnnounceLeaseMs int64 `yaml:"announce_lease_ms"`
 	// ConnectionsOptional accepts announcements without a number of connections; only the document limits connections then.
 	ConnectionsOptional bool `yaml:"connections_unannounced"`
+	// QuarantineByCaller counts crashes for each calling service apart, instead of for all callers of a request together.
+	QuarantineByCaller bool `yaml:"quarantine_by_caller"`
 	// DrainLingerMs is how long a draining backend server accepts calls from nodes that do not know yet that it drains, in milliseconds.
 	DrainLingerMs int64 `yaml:"drain_linger_ms"`
 	// ConfirmCrashes counts a broken connection as a crash of the backend server only if its port then refuses connections.
