Tell a started node which requests have crashed servers

Cause: crash records were kept in memory and each strike was sent once. Ruled out: the end of the quarantine, which lasts minutes.

A node now sends its crash records, with their age, to each process that contacts it for the first time; new nodes get them too.

--- a/calls/quarantiner/quarantiner.go
+++ b/calls/quarantiner/quarantiner.go
@@ -56,6 +56,9 @@
 // Route returns the route of the request.
 func (c CrashRecord) Route() string { return c.route }
 
+// At returns the time of the last crash.
+func (c CrashRecord) At() tiller.Millis { return c.at }
+
 // Strikes returns the number of crashes counted for the request.
 func (c CrashRecord) Strikes() int { return c.strikes }
 
@@ -79,13 +82,14 @@
 	return r.add(now, d, route, strikes)
 }
 
-// RaiseStrikes raises the strikes of a request to a total reported by another node; a lower total has no effect.
-func (r *Registry) RaiseStrikes(now tiller.Millis, d Digest, route string, total int) {
+// RaiseStrikes raises the strikes of a request to a total reported by another node, the last of them at the given time; a lower total has no
+// effect.
+func (r *Registry) RaiseStrikes(at tiller.Millis, d Digest, route string, total int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	if missing := total - r.records[d].strikes; missing > 0 {
-		r.add(now, d, route, missing)
+		r.add(at, d, route, missing)
 	}
 }
 
@@ -96,7 +100,7 @@
 		r.order = append(r.order, d)
 	}
 
-	record = CrashRecord{digest: d, route: route, strikes: record.strikes + strikes, at: now}
+	record = CrashRecord{digest: d, route: route, strikes: record.strikes + strikes, at: max(record.at, now)}
 	r.records[d] = record
 
 	for len(r.order) > MaxCrashRecords {
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -47,6 +47,8 @@
 	up          bool
 	lastVersion tiller.Version
 	skew        tiller.Millis
+	// crashRecords are those that the node knows.
+	crashRecords *quarantiner.Registry
 	// restored and replicated are what the node's steps have returned since its start.
 	restored   []detector.Withdrawal
 	replicated []detector.Replication
@@ -143,7 +145,8 @@
 
 func (f *fleet) startNode(n *testNode) {
 	f.starts++
-	n.core = node.New(n.config, uint64(f.now)+f.starts, quarantiner.NewRegistry(), rand.New(rand.NewPCG(f.starts, 2)))
+	n.crashRecords = quarantiner.NewRegistry()
+	n.core = node.New(n.config, uint64(f.now)+f.starts, n.crashRecords, rand.New(rand.NewPCG(f.starts, 2)))
 	n.up = true
 	n.lastVersion = tiller.Version{}
 	n.restored, n.replicated = nil, nil
--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -55,6 +55,8 @@
 	Messages []*wire.Envelope
 	// Events are recorded in the timeline.
 	Events []tiller.Event
+	// Started are the addresses of processes that have contacted this node for the first time since they started.
+	Started []string
 	// Restored are withdrawals that this process did not know and that a peer remembers from the previous one.
 	Restored []Withdrawal
 	// Replicated are the results of replications.
--- a/membership/detector/receive.go
+++ b/membership/detector/receive.go
@@ -22,6 +22,7 @@
 	c.mergeAll(p.GetEntries())
 
 	if !known {
+		c.out.Started = append(c.out.Started, from)
 		c.pushAllTables(from)
 	} else {
 		c.compareDigests(from, p.GetDigests())
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -249,6 +249,10 @@
 	c.out.Restored = append(c.out.Restored, e.Restored...)
 	c.out.Replicated = append(c.out.Replicated, e.Replicated...)
 
+	for _, address := range e.Started {
+		c.sendCrashRecords(address)
+	}
+
 	if e.RoundTrip > 0 {
 		c.out.RoundTrip = tiller.Some(e.RoundTrip)
 	}
@@ -300,6 +304,8 @@
 		c.receiveStrike(e.GetFrom(), b.Strike)
 	case *wire.Envelope_StrikeAck:
 		c.out.FinishedCrashReports = append(c.out.FinishedCrashReports, c.strikes.ack(e.GetFrom(), b.StrikeAck.GetNonce())...)
+	case *wire.Envelope_CrashRecords:
+		c.receiveCrashRecords(b.CrashRecords)
 	case *wire.Envelope_Offer:
 		if len(b.Offer.GetPeers()) > 0 {
 			c.detect(detector.Introduce{Addresses: b.Offer.GetPeers()})
