Count a crash against requests whose callers have left

Cause: a strike was counted only while the call lasted; its end closes the connection to the server.

--- a/calls/forwarder/crash.go
+++ b/calls/forwarder/crash.go
@@ -27,14 +27,24 @@
 ) *tiller.CallError {
 	if failed.Refused() {
 		f.BackendServer.ReportRefused()
+		f.blameAbandoned(target)
 
 		return notRun(tiller.ReasonNoBackend, fmt.Sprintf("the backend server of %s refuses connections", f.Name)).WithUntried()
 	}
 
 	err := callFailure(ctx, failed)
-	if failed.Broken() && ctx.Err() == nil && f.backendCrashed(ctx, target) {
+
+	switch {
+	case failed.Sent() && ctx.Err() != nil:
+		f.abandon(q, target, crash)
+	case failed.Broken() && f.backendCrashed(ctx, target):
 		f.crashes.record(crash)
 		f.CrashReporter.ReportCrash(context.WithoutCancel(ctx), crash, q.digest, q.route)
+
+		// Without a confirmation the server may have closed this connection only.
+		if f.ConfirmCrashes {
+			f.blameAbandoned(target)
+		}
 	}
 
 	return err.WithStrikes(f.CrashRecords.Strikes(q.digest))
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -127,6 +127,7 @@
 	maxWaits   *maxWaits
 	freeShare  *freeShare
 	crashes    crashCounter
+	abandoned  abandonedRuns
 	rateEvents rateEvents
 }
 
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -350,6 +350,10 @@
 
 	answer, err := readAnswer(x, limit)
 	if err != nil {
+		if ctx.Err() != nil {
+			f.abandon(q, target, crash)
+		}
+
 		return nil, err
 	}
 
