Refuse a body that arrives too late as not run, not as malformed

Cause: readPayload made a malformed request of any failed read, the end of its own read deadline included.

TestSlowBodyIsNotMalformed: four of five cases failed before.

--- a/calls/forwarder/request.go
+++ b/calls/forwarder/request.go
@@ -1,8 +1,11 @@
 package forwarder
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -86,7 +89,7 @@
 
 	buffered, err := io.ReadAll(io.LimitReader(r.Body, min(limit, maxBufferedBytes)+1))
 	if err != nil {
-		return nil, notRun(tiller.ReasonRequestMalformed, "the request's body broke off: "+err.Error())
+		return nil, bodyError(r.Context(), err)
 	}
 
 	n := int64(len(buffered))
@@ -103,6 +106,18 @@
 	return p, nil
 }
 
+// bodyError returns why a body could not be read. A caller that is too slow or has left has sent nothing malformed, and may send it again.
+func bodyError(ctx context.Context, err error) *tiller.CallError {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return notRun(tiller.ReasonDeadline, "the request's body did not arrive in the time of the call")
+	case ctx.Err() != nil:
+		return notRun(tiller.ReasonCancelled, "the caller left before its body had arrived")
+	default:
+		return notRun(tiller.ReasonRequestMalformed, "the request's body broke off: "+err.Error())
+	}
+}
+
 func requestTooLarge() *tiller.CallError {
 	return notRun(tiller.ReasonRequestTooLarge, "the request exceeds max_request_bytes")
 }
