Write no response after the connection has ended

Seen by the review once under the race detector: two exchanges of a connection write to its buffer at once. It is more than a race: a caller that closes its sending side got the head of a later response inside the body of the first.

Cause: the wait for the preceding responses and for the end of the connection was one random choice. After the end, a request between the two is done without having waited.

TestResponsesOfAnEndedConnectionDoNotInterleave fails before, with and without the race detector.

--- a/calls/acceptor/conn.go
+++ b/calls/acceptor/conn.go
@@ -301,6 +301,17 @@
 	c.exchanges.Done()
 }
 
+// awaitTurn waits until all preceding responses have been written, and returns the context's error if the connection has ended. Only then may the
+// caller write to the connection: once it has ended, a request is done without having waited for those before it, which may still be written.
+func (c *conn) awaitTurn(preceding <-chan struct{}) error {
+	select {
+	case <-preceding:
+	case <-c.ctx.Done():
+	}
+
+	return c.ctx.Err()
+}
+
 // respondError answers a request that could not be read, after all preceding responses.
 func (c *conn) respondError(err error, preceding <-chan struct{}) {
 	status := 0
@@ -316,9 +327,7 @@
 		return
 	}
 
-	select {
-	case <-preceding:
-	case <-c.ctx.Done():
+	if c.awaitTurn(preceding) != nil {
 		return
 	}
 
--- a/calls/acceptor/exchange.go
+++ b/calls/acceptor/exchange.go
@@ -155,11 +155,7 @@
 		return e.err
 	}
 
-	select {
-	case <-e.preceding:
-	case <-e.conn.ctx.Done():
-		e.err = e.conn.ctx.Err()
-
+	if e.err = e.conn.awaitTurn(e.preceding); e.err != nil {
 		return e.err
 	}
 
@@ -265,12 +261,12 @@
 }
 
 func (e *exchange) sendContinue() {
-	select {
-	case <-e.preceding:
-		_, _ = e.conn.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
-		_ = e.conn.writer.Flush()
-	case <-e.conn.ctx.Done():
+	if e.conn.awaitTurn(e.preceding) != nil {
+		return
 	}
+
+	_, _ = e.conn.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+	_ = e.conn.writer.Flush()
 }
 
 // writeErrorResponse answers a request that could not be read and announces the close of the connection.
--- a/calls/acceptor/fault_test.go
+++ b/calls/acceptor/fault_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -100,3 +104,60 @@
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// TestResponsesOfAnEndedConnectionDoNotInterleave guards against a response that is written into the middle of a preceding one, after the caller has
+// closed its side and a request between the two has given up. The rounds meet that moment.
+func TestResponsesOfAnEndedConnectionDoNotInterleave(t *testing.T) {
+	const (
+		rounds    = 10
+		following = 8
+		// length is more than the socket's buffers hold, so that the first response is still being written when the others end.
+		length = 16 << 20
+	)
+
+	for range rounds {
+		writing := make(chan struct{})
+		ended := make(chan struct{}, following)
+		_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/first" {
+				<-r.Context().Done()
+
+				_, _ = io.WriteString(w, "following")
+				ended <- struct{}{}
+
+				return
+			}
+
+			w.Header().Set("Content-Length", strconv.Itoa(length))
+
+			for part := bytes.Repeat([]byte("1"), 1<<20); ; {
+				if _, err := w.Write(part); err != nil {
+					return
+				}
+
+				select {
+				case <-writing:
+				default:
+					close(writing)
+				}
+			}
+		}, acceptor.DefaultLimits())
+
+		requests := "GET /first HTTP/1.1\r\nHost: a\r\n\r\n" + strings.Repeat("GET /next HTTP/1.1\r\nHost: a\r\n\r\n", following)
+		c := dial(t, address, requests)
+
+		<-writing
+
+		tcp, ok := c.(*net.TCPConn)
+		require.True(t, ok)
+		require.NoError(t, tcp.CloseWrite())
+
+		for range following {
+			<-ended
+		}
+
+		received, _ := io.ReadAll(c)
+		_, body, _ := bytes.Cut(received, []byte("\r\n\r\n"))
+		require.Empty(t, bytes.Trim(body, "1"), "only the first response may have been written")
+	}
+}
