--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -44,9 +44,9 @@
 	Identifies func(h http.Header) bool
 }
 
-// unidentifiable reports whether no response can name the request, although servers are expected to.
-func (r Request) unidentifiable() bool {
-	return r.ID == "" && r.Identifies != nil && !r.Identifies(http.Header{})
+// expectsIdentification reports whether servers name the request in their responses.
+func (r Request) expectsIdentification() bool {
+	return r.Identifies != nil && !r.Identifies(http.Header{})
 }
 
 // identifies reports whether a response names the request.
@@ -93,7 +93,7 @@
 	}
 
 	e := &exchange{pool: x, conn: c, request: r, out: x.options.Shaper.Writer(ctx, c.writer)}
-	c.recordSent(r.ID)
+	c.recordSent(r)
 	e.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 
 	resp, failure := e.run()
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
@@ -109,9 +110,9 @@
 	to          tiller.Address
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// sent is the number of requests that were sent on the connection, and recentIDs are the ids of the last of them.
+	// sent is the number of requests that were sent on the connection, and recentIDs are hashes of the ids of the last of them.
 	sent      int
-	recentIDs []string
+	recentIDs []uint64
 }
 
 // get returns the most recently used idle connection that is still usable, or opens one. A request whose answer could be confused with a late
@@ -122,7 +123,7 @@
 		return nil, eris.Errorf("no connection to %s", to)
 	}
 
-	if r.unidentifiable() {
+	if r.expectsIdentification() && r.ID == "" {
 		return x.dial(ctx, to)
 	}
 
@@ -132,7 +133,7 @@
 			return x.dial(ctx, to)
 		}
 
-		if !c.hasSent(r.ID) && time.Since(c.idleSince) < c.idleTimeout && c.usable() {
+		if !c.hasSent(r) && time.Since(c.idleSince) < c.idleTimeout && c.usable() {
 			return c, nil
 		}
 
@@ -233,14 +234,16 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// hasSent reports whether a request with the id was among the last ones on the connection.
-func (c *conn) hasSent(id string) bool { return id != "" && slices.Contains(c.recentIDs, id) }
+// hasSent reports whether a request with the same id was among the last ones on the connection.
+func (c *conn) hasSent(r Request) bool {
+	return r.expectsIdentification() && slices.Contains(c.recentIDs, xxhash.Sum64String(r.ID))
+}
 
 // recordSent counts a request that is about to be sent.
-func (c *conn) recordSent(id string) {
+func (c *conn) recordSent(r Request) {
 	c.sent++
 
-	if id == "" {
+	if !r.expectsIdentification() {
 		return
 	}
 
@@ -248,7 +251,7 @@
 		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
 	}
 
-	c.recentIDs = append(c.recentIDs, id)
+	c.recentIDs = append(c.recentIDs, xxhash.Sum64String(r.ID))
 }
 
 // close closes the connection. Its error is ignored since the peer may already have closed it.
--- a/membership/detector/withdrawal.go
+++ b/membership/detector/withdrawal.go
@@ -241,28 +241,27 @@
 
 // enoughCopies reports whether enough peers have confirmed the entry. In a small fleet all known peers are enough.
 func (c *Core) enoughCopies(r *replication) bool {
-	peers, remotePeers, confirmed, confirmedRemote := 0, 0, 0, 0
+	var local, remote, localStored, remoteStored int
 
 	for _, e := range c.Entries() {
-		if gone(e) || e.GetName() == c.self.GetName() {
-			continue
-		}
-
-		remote := e.GetDataCentre() != c.self.GetDataCentre()
 		stored := r.confirmed.Has(e.GetName())
-		peers += count(true)
-		remotePeers += count(remote)
-		confirmed += count(stored)
-		confirmedRemote += count(stored && remote)
-	}
 
-	return confirmed >= min(copiesRequired, peers) && confirmedRemote >= min(1, remotePeers)
-}
+		switch {
+		case gone(e) || e.GetName() == c.self.GetName():
+		case e.GetDataCentre() == c.self.GetDataCentre():
+			local++
+
+			if stored {
+				localStored++
+			}
+		default:
+			remote++
 
-func count(b bool) int {
-	if b {
-		return 1
+			if stored {
+				remoteStored++
+			}
+		}
 	}
 
-	return 0
+	return localStored+remoteStored >= min(copiesRequired, local+remote) && remoteStored >= min(1, remote)
 }
