--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -63,45 +63,6 @@
 	Replicated []Replication
 }
 
-// Input is an input of Core.Step.
-type Input interface{ input() }
-
-// Tick advances time.
-type Tick struct{}
-
-// Receive delivers a message.
-type Receive struct{ Envelope *wire.Envelope }
-
-// Announce updates the node's entry with the state of its backend server.
-type Announce struct{ Backend Backend }
-
-// Introduce gives addresses of nodes that may be unknown here.
-type Introduce struct{ Addresses []string }
-
-func (Introduce) input() {}
-
-// Leave marks the node as having left and notifies its peers.
-type Leave struct{}
-
-func (Tick) input()     {}
-func (Receive) input()  {}
-func (Announce) input() {}
-func (Leave) input()    {}
-
-// Backend is the state of a backend server that its node shares with other nodes.
-type Backend struct {
-	Service     tiller.Service
-	State       wire.BackendState
-	Slots       int
-	Connections int
-	// Instance identifies one start of the server, empty if not reported.
-	Instance string
-	// ColdUntil is when the server's cold start ends, by its own node's clock.
-	ColdUntil tiller.Millis
-	// Withdrawals are the starts of servers on this VM that are leaving, oldest first.
-	Withdrawals []Withdrawal
-}
-
 // probe is the node's own outstanding probe.
 type probe struct {
 	nonce    uint64
@@ -151,7 +112,7 @@
 	refusalEventAt tiller.Millis
 	// replications are in progress.
 	replications []*replication
-	// startedAt is the time of the first step.
+	// startedAt is the time of the first tick.
 	startedAt tiller.Millis
 	// contacted is set when a peer has sent its table of this node's data centre, or what it knows of this node.
 	contacted bool
@@ -183,10 +144,6 @@
 	c.now = c.clock.Advance(reading)
 	c.out = Effects{}
 
-	if c.startedAt == 0 {
-		c.startedAt = c.now
-	}
-
 	switch e := input.(type) {
 	case Tick:
 		c.tick()
@@ -227,8 +184,9 @@
 	c.tickRemote()
 }
 
-// start adds jitter to the first timers, since many nodes may start together.
+// start begins the wait for peers and adds jitter to the first timers, since many nodes may start together.
 func (c *Core) start() {
+	c.startedAt = c.now
 	c.probeAt = c.now + c.jitter(ProbePeriod)
 	c.remoteAt = c.now + c.jitter(remotePeriod)
 	c.deadProbeAt = c.now + deadProbePeriod + c.jitter(deadProbePeriod)
--- a/membership/detector/entry.go
+++ b/membership/detector/entry.go
@@ -13,8 +13,8 @@
 	// maxVersion bounds the incarnation and the sequence of an entry, so that its owner can always issue a newer one. Incarnations are Unix
 	// times in milliseconds.
 	maxVersion = 1 << 53
-	// maxTextBytes bounds each text in an entry.
-	maxTextBytes = 256
+	// MaxTextBytes bounds each text in an entry.
+	MaxTextBytes = 256
 	// maxSlots and maxConnections bound what a backend server is said to accept.
 	maxSlots       = 1_000_000
 	maxConnections = 1_000_000
@@ -32,7 +32,7 @@
 
 // checkEntry returns why an entry cannot come from a node, nil if it can.
 func (c *Core) checkEntry(e *wire.NodeEntry) error {
-	tooLong := func(text string) bool { return len(text) > maxTextBytes }
+	tooLong := func(text string) bool { return len(text) > MaxTextBytes }
 	texts := []string{e.GetName(), e.GetDataCentre(), e.GetAddress(), e.GetCallAddress(), e.GetService(), e.GetInstance()}
 	ofLongInstance := func(w *wire.Withdrawal) bool { return tooLong(w.GetInstance()) }
 
@@ -40,7 +40,7 @@
 	case e.GetName() == "" || e.GetDataCentre() == "":
 		return eris.New("no name or data centre")
 	case slices.ContainsFunc(texts, tooLong) || slices.ContainsFunc(e.GetWithdrawals(), ofLongInstance):
-		return eris.Errorf("a text of more than %d bytes", maxTextBytes)
+		return eris.Errorf("a text of more than %d bytes", MaxTextBytes)
 	case e.GetIncarnation() > maxVersion || e.GetSequence() > maxVersion:
 		return eris.Errorf("incarnation %d, sequence %d; the maximum is %d", e.GetIncarnation(), e.GetSequence(), uint64(maxVersion))
 	case wire.Liveness_name[int32(e.GetLiveness())] == "" || wire.BackendState_name[int32(e.GetState())] == "":
@@ -72,5 +72,5 @@
 
 	c.refusalEventAt = c.now + refusalEventPeriod
 	name := e.GetName()
-	c.emit(tiller.EventEntryRefused, err.Error(), tiller.WithCause(name[:min(len(name), maxTextBytes)]))
+	c.emit(tiller.EventEntryRefused, err.Error(), tiller.WithCause(name[:min(len(name), MaxTextBytes)]))
 }
--- a/membership/detector/probe.go
+++ b/membership/detector/probe.go
@@ -104,7 +104,7 @@
 
 // probeRemote exchanges table digests with a node of another data centre.
 func (c *Core) probeRemote() {
-	remote := slices.DeleteFunc(c.table.dataCentres(), func(dc string) bool { return dc == c.self.GetDataCentre() })
+	remote := c.remoteDataCentres()
 	if len(remote) == 0 {
 		return
 	}
@@ -142,11 +142,7 @@
 
 // gossipRemote sends changed entries to one node of every other data centre.
 func (c *Core) gossipRemote() {
-	for _, dc := range c.table.dataCentres() {
-		if dc == c.self.GetDataCentre() {
-			continue
-		}
-
+	for _, dc := range c.remoteDataCentres() {
 		nodes := slices.DeleteFunc(c.table.inDataCentre(dc), gone)
 		for _, e := range c.sample(nodes, 1) {
 			c.sendProbe(e.GetAddress(), 0, e.GetName(), "")
@@ -197,13 +193,17 @@
 	return out
 }
 
+// remoteDataCentres returns the other data centres of which entries are known, ordered by name.
+func (c *Core) remoteDataCentres() []string {
+	return slices.DeleteFunc(c.table.dataCentres(), func(dc string) bool { return dc == c.self.GetDataCentre() })
+}
+
 // sampleDigests returns the digests of the tables of the node's own data centre and of a random other one.
 func (c *Core) sampleDigests() []*wire.TableDigest {
 	own := c.self.GetDataCentre()
 	out := []*wire.TableDigest{{DataCentre: own, Hash: c.table.digests[own]}}
 
-	remote := slices.DeleteFunc(c.table.dataCentres(), func(dc string) bool { return dc == own })
-	if len(remote) > 0 {
+	if remote := c.remoteDataCentres(); len(remote) > 0 {
 		dc := remote[c.random.IntN(len(remote))]
 		out = append(out, &wire.TableDigest{DataCentre: dc, Hash: c.table.digests[dc]})
 	}
--- a/membership/detector/receive.go
+++ b/membership/detector/receive.go
@@ -18,23 +18,25 @@
 }
 
 func (c *Core) onProbe(from string, p *wire.Probe) {
-	known := len(p.GetEntries()) > 0 && c.knowsProcess(p.GetEntries()[0])
+	knowsProcess := len(p.GetEntries()) > 0 && c.knowsProcess(p.GetEntries()[0])
 	c.mergeAll(p.GetEntries())
 
-	if !known {
+	if !knowsProcess {
 		c.out.Started = append(c.out.Started, from)
 		c.pushAllTables(from)
 	} else {
 		c.compareDigests(from, p.GetDigests())
 	}
 
+	known := c.newerThan(p.GetEntries())
+
 	switch {
 	case p.GetOnBehalfOf() != "" && p.GetTarget() != c.self.GetName():
 		c.relayProbe(p)
 	case p.GetNonce() != 0 && p.GetTarget() == c.self.GetName():
-		c.ack(from, p.GetNonce(), p.GetTarget(), c.newerThan(p.GetEntries())...)
-	case len(p.GetEntries()) > 0 && c.knowsNewer(p.GetEntries()[0]):
-		c.ack(from, 0, "", c.newerThan(p.GetEntries())...)
+		c.ack(from, p.GetNonce(), p.GetTarget(), known...)
+	case len(known) > 0:
+		c.ack(from, 0, "", known...)
 	}
 }
 
@@ -47,18 +49,16 @@
 
 // newerThan returns this node's entry of the sender if it is newer than the sender's own, which comes first in a probe.
 func (c *Core) newerThan(entries []*wire.NodeEntry) []*wire.NodeEntry {
-	if len(entries) == 0 || !c.knowsNewer(entries[0]) {
+	if len(entries) == 0 {
 		return nil
 	}
 
-	return []*wire.NodeEntry{c.table.entry(entries[0].GetName())}
-}
-
-// knowsNewer reports whether this node has a newer entry of the sender than the sender itself.
-func (c *Core) knowsNewer(e *wire.NodeEntry) bool {
-	known := c.table.entry(e.GetName())
+	known := c.table.entry(entries[0].GetName())
+	if known == nil || !newer(known, entries[0]) {
+		return nil
+	}
 
-	return known != nil && newer(known, e)
+	return []*wire.NodeEntry{known}
 }
 
 // relayProbe probes a target on behalf of a peer.
--- a/membership/detector/withdrawal.go
+++ b/membership/detector/withdrawal.go
@@ -13,22 +13,13 @@
 const (
 	// AllSequences is the sequence of a withdrawal that makes all announcements of a start void.
 	AllSequences = math.MaxUint64
-	// ReplicationTimeout is how long a node waits for copies of its entry; it leaves time to answer a backend server that waits a second.
-	ReplicationTimeout tiller.Millis = 700
 	// RecoveryTimeout is how long a node that has started waits for a peer that may remember its previous process.
 	RecoveryTimeout tiller.Millis = 500
 
 	// recoveryPeriod is how often such a node asks another seed.
 	recoveryPeriod tiller.Millis = 100
-	// replicationPeriod is how often an entry is sent again to the peers that have not confirmed it.
-	replicationPeriod tiller.Millis = 150
 	// maxWithdrawals bounds the withdrawals in an entry.
 	maxWithdrawals = 8
-	// copiesRequired is how many other nodes must store an entry, one of them in another data centre if one is known.
-	copiesRequired = 3
-	// localCopies and remoteCopies are how many nodes of the own data centre and of others an entry is sent to.
-	localCopies  = 4
-	remoteCopies = 4
 )
 
 // Withdrawal identifies a start of a backend server that is leaving. Its announcements are void up to a sequence.
@@ -40,28 +31,6 @@
 	Sequence uint64
 }
 
-// Replicate sends the node's entry to peers until enough of them store it. The result is in Effects.Replicated.
-type Replicate struct{ Token uint64 }
-
-func (Replicate) input() {}
-
-// Replication is the result of a Replicate.
-type Replication struct {
-	Token uint64
-	// Stored is set if enough peers store the entry.
-	Stored bool
-}
-
-// replication is a Replicate in progress.
-type replication struct {
-	token       uint64
-	nonce       uint64
-	incarnation uint64
-	deadline    tiller.Millis
-	nextSendAt  tiller.Millis
-	confirmed   tiller.Set[string]
-}
-
 func fromWire(ws []*wire.Withdrawal) []Withdrawal {
 	out := make([]Withdrawal, 0, len(ws))
 	for _, w := range ws {
@@ -127,8 +96,12 @@
 
 // withCarried returns a node's entry with the withdrawals that the node has to take back, or the entry itself if there are none.
 func (r *record) withCarried() *wire.NodeEntry {
+	if len(r.carried) == 0 {
+		return r.entry
+	}
+
 	e, ok := proto.Clone(r.entry).(*wire.NodeEntry)
-	if len(r.carried) == 0 || !ok {
+	if !ok {
 		return r.entry
 	}
 
@@ -152,116 +125,3 @@
 		Entries: []*wire.NodeEntry{r.withCarried()}, DataCentre: e.GetDataCentre(),
 	}}})
 }
-
-func (c *Core) replicate(token uint64) {
-	r := &replication{
-		token: token, nonce: c.random.Uint64() | 1, deadline: c.now + ReplicationTimeout, confirmed: tiller.NewSet[string](),
-		incarnation: c.self.GetIncarnation(),
-	}
-	c.replications = append(c.replications, r)
-	c.sendCopies(r)
-	c.finishReplications()
-}
-
-// tickReplications sends the entry again where it is unconfirmed and ends the replications that took too long.
-func (c *Core) tickReplications() {
-	for _, r := range c.replications {
-		if c.now >= r.nextSendAt {
-			c.sendCopies(r)
-		}
-	}
-
-	c.finishReplications()
-}
-
-// sendCopies sends the entry to a sample of the peers that have not confirmed it.
-func (c *Core) sendCopies(r *replication) {
-	r.nextSendAt = c.now + replicationPeriod
-
-	unconfirmed := func(entries []*wire.NodeEntry) []*wire.NodeEntry {
-		return slices.DeleteFunc(entries, func(e *wire.NodeEntry) bool { return r.confirmed.Has(e.GetName()) })
-	}
-
-	targets := c.sample(unconfirmed(c.localPeers()), localCopies)
-
-	remote := c.remoteDataCentres()
-	c.random.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
-
-	for i := range min(len(remote), remoteCopies) {
-		targets = append(targets, c.sample(unconfirmed(c.relaysOf(remote[i])), 1)...)
-	}
-
-	for _, e := range targets {
-		c.sendProbe(e.GetAddress(), r.nonce, e.GetName(), "")
-	}
-}
-
-// relaysOf returns the nodes of another data centre that exchange entries with other data centres.
-func (c *Core) relaysOf(dc string) []*wire.NodeEntry {
-	ranked := c.Ranked(tiller.DataCentre(dc))
-
-	return ranked[:min(len(ranked), relaysPerDataCentre)]
-}
-
-// remoteDataCentres returns the other data centres that have nodes which are neither dead nor have left.
-func (c *Core) remoteDataCentres() []string {
-	return slices.DeleteFunc(c.table.dataCentres(), func(dc string) bool {
-		return dc == c.self.GetDataCentre() || len(c.Ranked(tiller.DataCentre(dc))) == 0
-	})
-}
-
-// confirmCopy records that a peer stores the node's entry. It does not if it knows of a later process of this node.
-func (c *Core) confirmCopy(nonce uint64, peer string) {
-	for _, r := range c.replications {
-		if r.nonce == nonce && r.incarnation == c.self.GetIncarnation() {
-			r.confirmed.Add(peer)
-		}
-	}
-
-	c.finishReplications()
-}
-
-func (c *Core) finishReplications() {
-	c.replications = slices.DeleteFunc(c.replications, func(r *replication) bool {
-		if r.incarnation != c.self.GetIncarnation() {
-			r.incarnation = c.self.GetIncarnation()
-			r.confirmed = tiller.NewSet[string]()
-		}
-
-		stored := c.enoughCopies(r)
-		if !stored && c.now < r.deadline {
-			return false
-		}
-
-		c.out.Replicated = append(c.out.Replicated, Replication{Token: r.token, Stored: stored})
-
-		return true
-	})
-}
-
-// enoughCopies reports whether enough peers have confirmed the entry. In a small fleet all known peers are enough.
-func (c *Core) enoughCopies(r *replication) bool {
-	var local, remote, localStored, remoteStored int
-
-	for _, e := range c.Entries() {
-		stored := r.confirmed.Has(e.GetName())
-
-		switch {
-		case gone(e) || e.GetName() == c.self.GetName():
-		case e.GetDataCentre() == c.self.GetDataCentre():
-			local++
-
-			if stored {
-				localStored++
-			}
-		default:
-			remote++
-
-			if stored {
-				remoteStored++
-			}
-		}
-	}
-
-	return localStored+remoteStored >= min(copiesRequired, local+remote) && remoteStored >= min(1, remote)
-}
--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -24,8 +24,8 @@
 	MaxColdStart = 10 * tiller.Minute
 	// MaxSequence is the maximum number of an announcement.
 	MaxSequence = 1 << 53
-	// MaxInstanceBytes is the maximum length of an instance.
-	MaxInstanceBytes = 256
+	// MaxInstanceBytes is the maximum length of an instance, which other nodes must accept in the node's entry.
+	MaxInstanceBytes = detector.MaxTextBytes
 	// MaxClockLead is how far the start of a server may lie ahead of the node's wall clock, which may have been set back since.
 	MaxClockLead = 24 * tiller.Hour
 
