Hold a server back in the registrar, and check its start in one place

That a restarted node does not use its server yet was decided twice, for peers and for the call path; the registrar decides it now, from which both follow. The start named by an announcement and by a deregistration had checks of their own; they call CheckStart. Three places ended the drain linger by hand.

After a panic of the core the input was built a second time for the log, without the lock. It is now kept.

--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/netip"
 
-	"github.com/rotisserie/eris"
-
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
@@ -81,6 +79,9 @@
 // WithHost refuses announcements of servers on another host.
 func WithHost(host netip.Addr) Option { return func(c *Core) { c.host = host.Unmap() } }
 
+// WithHold counts a ready server as starting while the function returns true.
+func WithHold(held func() bool) Option { return func(c *Core) { c.held = held } }
+
 // WithOptionalConnections allows announcements without a number of connections.
 func WithOptionalConnections() Option { return func(c *Core) { c.connectionsOptional = true } }
 
@@ -90,6 +91,8 @@
 	lease               tiller.Millis
 	drainLinger         tiller.Millis
 	connectionsOptional bool
+	// held reports whether a ready server counts as starting.
+	held func() bool
 	// wall is the VM's wall clock, nil if starts are not compared with it.
 	wall tiller.Clock
 	// host is where the server runs, the zero value if any host is allowed.
@@ -120,7 +123,9 @@
 
 // New returns a core for the service in the node's settings.
 func New(service tiller.Service, options ...Option) *Core {
-	c := &Core{service: service, lease: DefaultLease, state: wire.BackendState_BACKEND_STATE_NONE}
+	c := &Core{
+		service: service, lease: DefaultLease, state: wire.BackendState_BACKEND_STATE_NONE, held: func() bool { return false },
+	}
 	for _, o := range options {
 		o(c)
 	}
@@ -167,6 +172,11 @@
 	c.state = state
 }
 
+// endLinger ends the time in which a draining server still accepts requests.
+func (c *Core) endLinger(now tiller.Millis) {
+	c.drainingSince = min(c.drainingSince, now-c.drainLinger)
+}
+
 func (c *Core) sameStart(a Announcement) bool {
 	return c.state != wire.BackendState_BACKEND_STATE_NONE && a.Instance == c.current.Instance && a.StartedAtMs == c.current.StartedAtMs
 }
@@ -226,7 +236,7 @@
 	c.Withdraw(now, c.current.Instance, c.current.StartedAtMs)
 
 	if news && learnt {
-		c.drainingSince = now - c.drainLinger
+		c.endLinger(now)
 	}
 
 	return news
@@ -247,10 +257,6 @@
 		fault("address: %q; the server of this node runs on %s", a.Address, c.host)
 	}
 
-	if len(a.Instance) > MaxInstanceBytes {
-		fault("instance: %d bytes; allowed are %d", len(a.Instance), MaxInstanceBytes)
-	}
-
 	if a.Sequence > MaxSequence {
 		fault("sequence: %d; the maximum is %d", a.Sequence, uint64(MaxSequence))
 	}
@@ -267,9 +273,7 @@
 		fault("connections: %d; allowed are %d to %d", a.Connections, lowest, MaxConnections)
 	}
 
-	if err := c.CheckStart(a.StartedAtMs); err != nil {
-		fault("born: %s", err)
-	}
+	faults = append(faults, c.CheckStart(a.Instance, a.StartedAtMs)...)
 
 	if a.ColdMs < 0 || a.ColdMs > int64(MaxColdStart) {
 		fault("cold_ms: %d; allowed are 0 to %d", a.ColdMs, MaxColdStart)
@@ -283,16 +287,23 @@
 	return state, faults
 }
 
-// CheckStart returns an error unless a time in Unix milliseconds can be that of a start.
-func (c *Core) CheckStart(startedAtMs int64) error {
-	switch {
-	case startedAtMs < 0:
-		return eris.Errorf("%d is not a Unix time in milliseconds", startedAtMs)
-	case c.wall != nil && startedAtMs > int64(c.wall.Now()+MaxClockLead):
-		return eris.Errorf("%d is in the future", startedAtMs)
-	default:
-		return nil
+// CheckStart returns why no server of this VM can have such a start, nil if one can. The time is in Unix milliseconds.
+func (c *Core) CheckStart(instance string, startedAtMs int64) []string {
+	var faults []string
+
+	if len(instance) > MaxInstanceBytes {
+		faults = append(faults, fmt.Sprintf("instance: %d bytes; allowed are %d", len(instance), MaxInstanceBytes))
+	}
+
+	if startedAtMs < 0 {
+		faults = append(faults, fmt.Sprintf("born: %d is not a Unix time in milliseconds", startedAtMs))
 	}
+
+	if c.wall != nil && startedAtMs > int64(c.wall.Now()+MaxClockLead) {
+		faults = append(faults, fmt.Sprintf("born: %d is in the future", startedAtMs))
+	}
+
+	return faults
 }
 
 func (c *Core) minConnections() int {
@@ -319,11 +330,15 @@
 }
 
 // Backend returns the state of the server to share with other nodes. An announced server is gone if its lease has expired or its port
-// refused a connection recently.
+// refused a connection recently. A ready one counts as starting while it is held.
 func (c *Core) Backend(now tiller.Millis) detector.Backend {
 	state := c.state
-	if state != wire.BackendState_BACKEND_STATE_NONE && (now >= c.leaseExpiresAt || c.recentlyRefused(now)) {
+
+	switch {
+	case state != wire.BackendState_BACKEND_STATE_NONE && (now >= c.leaseExpiresAt || c.recentlyRefused(now)):
 		state = wire.BackendState_BACKEND_STATE_GONE
+	case state == wire.BackendState_BACKEND_STATE_READY && c.held():
+		state = wire.BackendState_BACKEND_STATE_STARTING
 	}
 
 	return detector.Backend{
--- a/membership/registrar/withdrawal.go
+++ b/membership/registrar/withdrawal.go
@@ -19,7 +19,7 @@
 	}
 
 	c.setState(now, wire.BackendState_BACKEND_STATE_DRAINING, false)
-	c.drainingSince = now - c.drainLinger
+	c.endLinger(now)
 }
 
 // rememberLeaving remembers the announcement by which a start begins to leave, and forgets it if the start is in use again.
@@ -31,7 +31,7 @@
 	case leaves && i < 0:
 		c.remember(now, detector.Withdrawal{Instance: a.Instance, StartedAtMs: a.StartedAtMs, Sequence: a.Sequence}, false)
 	case leaves && c.withdrawals[i].restored:
-		c.drainingSince = min(c.drainingSince, now-c.drainLinger)
+		c.endLinger(now)
 	case !leaves && i >= 0:
 		c.withdrawals = slices.Delete(c.withdrawals, i, i+1)
 	}
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -128,10 +129,7 @@
 	now := s.clock.Now()
 	state := s.registrar.Backend(now).State
 
-	switch {
-	case !s.core.Recovered() && state == wire.BackendState_BACKEND_STATE_READY:
-		state = wire.BackendState_BACKEND_STATE_STARTING
-	case s.registrar.Accepts(now):
+	if s.registrar.Accepts(now) {
 		state = wire.BackendState_BACKEND_STATE_READY
 	}
 
@@ -240,10 +238,10 @@
 func (s *Server) Withdraw(ctx context.Context, instance string, born int64) error {
 	s.mu.Lock()
 
-	if err := s.registrar.CheckStart(born); err != nil || len(instance) > registrar.MaxInstanceBytes {
+	if faults := s.registrar.CheckStart(instance, born); len(faults) > 0 {
 		s.mu.Unlock()
 
-		return eris.Wrapf(ErrInvalidWithdrawal, "instance of %d bytes, born %d", len(instance), born)
+		return eris.Wrap(ErrInvalidWithdrawal, strings.Join(faults, "; "))
 	}
 
 	if born == 0 && instance != s.registrar.Instance() {
@@ -276,7 +274,7 @@
 
 		return nil
 	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "replicate the membership entry")
+		return eris.Wrap(ErrNotReplicated, ctx.Err().Error())
 	}
 }
 
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -109,7 +109,6 @@
 	s := &Server{
 		settings: settings, options: options, clock: clock, hybrid: hybrid,
 		ring: recorder.New(settings.Name, dc, hybrid, recorder.WithLog(options.Log)), crashRecords: quarantiner.NewRegistry(),
-		registrar: newRegistrar(settings),
 		listeners: map[string]net.Listener{},
 		splitter:  balancer.NewSplitter(newRandom()),
 		balancer:  balancer.New(dc, newRandom()),
@@ -129,6 +128,9 @@
 		CheckAddress: transporter.CheckAddress,
 	}, uint64(time.Now().UnixMilli()), s.crashRecords, newRandom())
 
+	// A peer may remember that a start of the server was withdrawn before this process began.
+	s.registrar = newRegistrar(settings, func() bool { return !s.core.Recovered() })
+
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
@@ -138,8 +140,11 @@
 	return s, nil
 }
 
-func newRegistrar(settings Settings) *registrar.Core {
-	options := []registrar.Option{registrar.WithDrainLinger(tiller.Millis(settings.DrainLingerMs)), registrar.WithWallClock(tiller.WallClock())}
+// newRegistrar returns a registrar that does not use the backend server while it is held.
+func newRegistrar(settings Settings, held func() bool) *registrar.Core {
+	options := []registrar.Option{
+		registrar.WithDrainLinger(tiller.Millis(settings.DrainLingerMs)), registrar.WithWallClock(tiller.WallClock()), registrar.WithHold(held),
+	}
 	if settings.AnnounceLeaseMs > 0 {
 		options = append(options, registrar.WithLease(tiller.Millis(settings.AnnounceLeaseMs)))
 	}
@@ -319,13 +324,8 @@
 // sharedBackend returns the state of the backend server that other nodes are told. The caller holds the lock.
 func (s *Server) sharedBackend() detector.Backend {
 	b := s.registrar.Backend(s.clock.Now())
-
-	switch {
-	case s.drained:
+	if s.drained {
 		b.State = wire.BackendState_BACKEND_STATE_DRAINING
-	case b.State == wire.BackendState_BACKEND_STATE_READY && !s.core.Recovered():
-		// A peer may remember that this start was withdrawn before the node restarted.
-		b.State = wire.BackendState_BACKEND_STATE_STARTING
 	}
 
 	return b
--- a/process/nodeserver/step.go
+++ b/process/nodeserver/step.go
@@ -14,9 +14,15 @@
 
 // stepWith is step for an input that depends on state which the lock guards.
 func (s *Server) stepWith(input func() node.Input) {
-	effects, err := s.advance(input)
+	var in node.Input
+
+	effects, err := s.advance(func() node.Input {
+		in = input()
+
+		return in
+	})
 	if err != nil {
-		s.options.Log.Error(err, "an input was dropped because the node's core panicked", "input", fmt.Sprintf("%T", input()))
+		s.options.Log.Error(err, "an input was dropped because the node's core panicked", "input", fmt.Sprintf("%T", in))
 
 		return
 	}
