--- a/cmd/tillerctl/main_test.go
+++ b/cmd/tillerctl/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"gitlab.com/sycamoretiller/sycamoretiller/internal/loopback"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/controlserver"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/launcher"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/nodeserver"
@@ -37,16 +37,6 @@
     reason: its disk is being replaced
 `
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-
-	return l.Addr().String()
-}
-
 // run runs parts until the test ends.
 func run(t *testing.T, parts []runner.Part) {
 	t.Helper()
@@ -66,7 +56,7 @@
 func deployment(t *testing.T) (controller, node string) {
 	t.Helper()
 
-	c := controlserver.Settings{Name: "c1", DataCentre: "dc1", Address: freeAddress(t), DataFolder: t.TempDir(), HeartbeatMs: 20}
+	c := controlserver.Settings{Name: "c1", DataCentre: "dc1", Address: loopback.FreeAddress(t), DataFolder: t.TempDir(), HeartbeatMs: 20}
 	require.NoError(t, controlserver.Bootstrap(c))
 
 	cs, err := controlserver.New(c, controlserver.Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
@@ -74,7 +64,7 @@
 	run(t, cs.Parts())
 
 	n := nodeserver.Settings{
-		Name: "w1", DataCentre: "dc1", Service: "board", Address: freeAddress(t), CallAddress: freeAddress(t), Controllers: []string{c.Address},
+		Name: "w1", DataCentre: "dc1", Service: "board", Address: loopback.FreeAddress(t), CallAddress: loopback.FreeAddress(t), Controllers: []string{c.Address},
 	}
 	ns, err := nodeserver.New(n, nodeserver.Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
 	require.NoError(t, err)
--- a/process/controlserver/controlserver_test.go
+++ b/process/controlserver/controlserver_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/document/encoder"
+	"gitlab.com/sycamoretiller/sycamoretiller/internal/loopback"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/controlserver"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/editor"
@@ -44,20 +44,10 @@
 	return j.Journal.Append(r)
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-
-	return l.Addr().String()
-}
-
 func settings(t *testing.T) controlserver.Settings {
 	t.Helper()
 
-	return controlserver.Settings{Name: "c1", DataCentre: "kigali-1", Address: freeAddress(t), DataFolder: t.TempDir(), HeartbeatMs: 20}
+	return controlserver.Settings{Name: "c1", DataCentre: "kigali-1", Address: loopback.FreeAddress(t), DataFolder: t.TempDir(), HeartbeatMs: 20}
 }
 
 // start runs a controller until the test ends or the returned function is called.
--- a/process/nodeserver/restart_internal_test.go
+++ b/process/nodeserver/restart_internal_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
+	"gitlab.com/sycamoretiller/sycamoretiller/internal/loopback"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
@@ -33,16 +33,6 @@
 	done     chan struct{}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-
-	return l.Addr().String()
-}
-
 func (r *restartable) start() {
 	r.t.Helper()
 
@@ -95,13 +85,13 @@
 	seeds := make([]string, count)
 
 	for i := range seeds {
-		seeds[i] = freeAddress(t)
+		seeds[i] = loopback.FreeAddress(t)
 	}
 
 	for i := range nodes {
 		nodes[i] = &restartable{t: t, settings: Settings{
 			Name: fmt.Sprintf("node-%d", i), DataCentre: fmt.Sprintf("dc%d", i%2), Service: "board", Address: seeds[i],
-			CallAddress: freeAddress(t), Controllers: []string{"127.0.0.1:1"}, Seeds: seeds, ConnectionsOptional: true,
+			CallAddress: loopback.FreeAddress(t), Controllers: []string{"127.0.0.1:1"}, Seeds: seeds, ConnectionsOptional: true,
 		}}
 		nodes[i].start()
 		t.Cleanup(func() { nodes[i].kill() })
