--- a/cmd/tillerctl/main_test.go
+++ b/cmd/tillerctl/main_test.go
@@ -64,7 +64,8 @@
 	run(t, cs.Parts())
 
 	n := nodeserver.Settings{
-		Name: "w1", DataCentre: "dc1", Service: "board", Address: loopback.FreeAddress(t), CallAddress: loopback.FreeAddress(t), Controllers: []string{c.Address},
+		Name: "w1", DataCentre: "dc1", Service: "board", Address: loopback.FreeAddress(t), CallAddress: loopback.FreeAddress(t),
+		Controllers: []string{c.Address},
 	}
 	ns, err := nodeserver.New(n, nodeserver.Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
 	require.NoError(t, err)
