Log what tells apart why a leaving server gets requests

Without these lines no log showed whether a restarted node had been told of withdrawals or had stopped waiting, which announcement had brought a server back into use, whether an announcement was ignored, how long a server had been leaving when it was sent a request, and how long an acknowledgement had taken. Adds recovery ended, announcement ignored, leaving of the worker acknowledged, request sent to a leaving server with the timer calls.to_leaving_server, and the announcement in the events about the state of a backend server.

No decision changes.

--- a/calls/forwarder/abandoned.go
+++ b/calls/forwarder/abandoned.go
@@ -72,7 +72,7 @@
 // blameAbandoned counts a crash of the backend server against the requests that it may have been running although their calls had ended. It does
 // not wait until other nodes have acknowledged the reports, since no caller waits for them.
 func (f *Forwarder) blameAbandoned(target Target) {
-	if target.leaving {
+	if target.leaving() {
 		return
 	}
 
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -44,7 +44,8 @@
 	instance string
 	state    wire.BackendState
 	start    string
-	leaving  bool
+	// leavingFor is how long the server has been leaving, none if it is not.
+	leavingFor tiller.Option[tiller.Millis]
 }
 
 // NewTarget returns a target with the address a backend server listens on, the instance (one per start) and its state.
@@ -59,13 +60,20 @@
 	return t
 }
 
-// WithLeaving returns a copy that also says whether the server is leaving; it may still accept requests for a while.
-func (t Target) WithLeaving(leaving bool) Target {
-	t.leaving = leaving
+// WithLeavingFor returns a copy that also says how long the server has been leaving, none if it is not. It may still accept requests for a while.
+func (t Target) WithLeavingFor(leavingFor tiller.Option[tiller.Millis]) Target {
+	t.leavingFor = leavingFor
 
 	return t
 }
 
+// leaving reports whether the server is leaving.
+func (t Target) leaving() bool {
+	_, leaving := t.leavingFor.Get()
+
+	return leaving
+}
+
 // BackendServer gives access to the backend server on this VM.
 type BackendServer interface {
 	// Target returns the current address, instance and state of the server.
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -54,14 +54,12 @@
 }
 
 func (n *fakeNode) Target() forwarder.Target {
-	state := n.state
-	if n.leaving.Load() {
-		state = wire.BackendState_BACKEND_STATE_DRAINING
-	}
-
 	address := tiller.Address(strings.TrimPrefix(n.backend.server.URL, "http://"))
+	if !n.leaving.Load() {
+		return forwarder.NewTarget(address, "", n.state).WithStart(n.start)
+	}
 
-	return forwarder.NewTarget(address, "", state).WithStart(n.start).WithLeaving(n.leaving.Load())
+	return forwarder.NewTarget(address, "", wire.BackendState_BACKEND_STATE_DRAINING).WithStart(n.start).WithLeavingFor(tiller.Some(tiller.Millis(0)))
 }
 
 // ReportLeaving makes the node refuse requests from then on, as after the linger.
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -330,6 +330,8 @@
 	header := q.header.Clone()
 	f.Dialect.SetBackendTerms(header, terms)
 
+	f.recordLeaving(q)
+
 	crash := f.crashes.next()
 	sentAt := f.Clock.Now()
 	done := measure(f.stages.worker)
@@ -360,6 +362,14 @@
 	return f.classify(q, answer)
 }
 
+// recordLeaving records a request that is sent to a server which is leaving.
+func (f *Forwarder) recordLeaving(q *request) {
+	if span, leaving := f.BackendServer.Target().leavingFor.Get(); leaving {
+		f.stages.leaving.Update(span.Duration())
+		f.log.sentToLeavingServer(q, span)
+	}
+}
+
 // classify returns the answer of the backend server, or an error if the server did not run the request or its answer is damaged.
 func (f *Forwarder) classify(q *request, answer *Answer) (*Answer, *tiller.CallError) {
 	switch f.Dialect.Classify(answer.status, answer.header) {
--- a/calls/forwarder/log.go
+++ b/calls/forwarder/log.go
@@ -51,6 +51,11 @@
 		"detail", err.Detail(), "load", load, "limit", limit, "pace_ms", int64(meanLatency))
 }
 
+// sentToLeavingServer logs a request that is sent to a backend server which has been leaving for a time.
+func (l callLog) sentToLeavingServer(q *request, leavingFor tiller.Millis) {
+	l.log.Info("request sent to a leaving server", "id", q.id, "cause", q.cause, "attempt", q.attempt, "route", q.route, "leaving_ms", int64(leavingFor))
+}
+
 func (l callLog) refused(c *call, err *tiller.CallError) {
 	fields := append(l.callFields(c),
 		"verdict", err.Verdict().String(), "reason", err.Reason().String(), "detail", err.Detail(), "retry_after_ms", int64(err.RetryAfter()))
--- a/calls/forwarder/notice.go
+++ b/calls/forwarder/notice.go
@@ -108,7 +108,7 @@
 // reportServerState adds what the backend server states to the answer to another node. Asked is set if the attempt stated something.
 func (f *Forwarder) reportServerState(h http.Header, asked bool) {
 	target := f.BackendServer.Target()
-	setServerState(h, balancer.NewServerState(target.start, f.Limiter.Rate(), target.leaving), asked)
+	setServerState(h, balancer.NewServerState(target.start, f.Limiter.Rate(), target.leaving()), asked)
 }
 
 // recordServerState records what the answer of another node says of its backend server.
--- a/calls/forwarder/stages.go
+++ b/calls/forwarder/stages.go
@@ -15,6 +15,8 @@
 	queue  metrics.Timer
 	hop    metrics.Timer
 	worker metrics.Timer
+	// leaving times how long the backend server had been leaving when it was sent a request.
+	leaving metrics.Timer
 }
 
 func newStages(registry metrics.Registry) stages {
@@ -23,6 +25,7 @@
 		queue:    metrics.GetOrRegisterTimer("calls.queue", registry),
 		hop:      metrics.GetOrRegisterTimer("calls.hop", registry),
 		worker:   metrics.GetOrRegisterTimer("calls.worker", registry),
+		leaving:  metrics.GetOrRegisterTimer("calls.to_leaving_server", registry),
 	}
 }
 
--- a/membership/detector/withdrawal.go
+++ b/membership/detector/withdrawal.go
@@ -65,6 +65,9 @@
 	return c.contacted || (c.startedAt > 0 && c.now >= c.startedAt+RecoveryTimeout)
 }
 
+// PeerAnswered reports whether a peer has told the node what it remembers of the node's previous process.
+func (c *Core) PeerAnswered() bool { return c.contacted }
+
 // restore adds to the node's own entry the withdrawals that only its peers remember from its previous process.
 func (c *Core) restore(e *wire.NodeEntry) {
 	c.contacted = true
--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -108,6 +108,8 @@
 	lowSequence uint64
 	refusedAt   tiller.Millis
 	refused     bool
+	// ignored counts the announcements that were superseded or void.
+	ignored int
 	// withdrawals are the starts that are leaving, the latest last.
 	withdrawals []withdrawal
 }
@@ -142,6 +144,8 @@
 	}
 
 	if c.superseded(now, a) {
+		c.ignored++
+
 		return nil
 	}
 
@@ -245,6 +249,21 @@
 // Leaving reports whether the server is draining or was withdrawn.
 func (c *Core) Leaving() bool { return c.state == wire.BackendState_BACKEND_STATE_DRAINING }
 
+// LeavingFor returns how long the server has been draining, none if it is not.
+func (c *Core) LeavingFor(now tiller.Millis) tiller.Option[tiller.Millis] {
+	if !c.Leaving() {
+		return tiller.None[tiller.Millis]()
+	}
+
+	return tiller.Some(max(now-c.drainingSince, 0))
+}
+
+// Ignored returns the number of announcements that were ignored because a later one or a withdrawal supersedes them.
+func (c *Core) Ignored() int { return c.ignored }
+
+// Latest returns the latest announcement that was accepted.
+func (c *Core) Latest() Announcement { return c.current }
+
 // validate returns the announced state and every fault of an announcement.
 func (c *Core) validate(a Announcement) (wire.BackendState, []string) {
 	var faults []string
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -363,6 +363,9 @@
 // Recovered reports whether the node has learnt what its peers remember of its previous process, or has stopped waiting for it.
 func (c *Core) Recovered() bool { return c.detector.Recovered() }
 
+// PeerAnswered reports whether a peer has told the node what it remembers of its previous process.
+func (c *Core) PeerAnswered() bool { return c.detector.PeerAnswered() }
+
 // Rank returns the node's position in the ranking of its data centre's nodes.
 func (c *Core) Rank() int { return c.detector.SelfRank() }
 
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -138,7 +138,7 @@
 		address = tiller.Address(s.settings.BackendAddress)
 	}
 
-	return forwarder.NewTarget(address, s.registrar.Instance(), state).WithStart(s.registrar.Start()).WithLeaving(s.registrar.Leaving())
+	return forwarder.NewTarget(address, s.registrar.Instance(), state).WithStart(s.registrar.Start()).WithLeavingFor(s.registrar.LeavingFor(now))
 }
 
 // ReportRefused records that the backend server's port refused a connection.
@@ -210,13 +210,19 @@
 // the server leaves and that may be forgotten when this node restarts.
 func (s *Server) Announce(ctx context.Context, a registrar.Announcement) ([]string, error) {
 	s.mu.Lock()
+	ignored := s.registrar.Ignored()
 	faults := s.registrar.Announce(s.clock.Now(), a)
+	ignored = s.registrar.Ignored() - ignored
 	s.mu.Unlock()
 
 	if len(faults) > 0 {
 		return faults, nil
 	}
 
+	if ignored > 0 {
+		s.options.Log.Info("announcement ignored", "instance", a.Instance, "born", a.StartedAtMs, "sequence", a.Sequence, "state", a.State)
+	}
+
 	s.tick()
 
 	if t := s.table.Load(); t != nil {
@@ -264,6 +270,7 @@
 
 	defer s.replications.remove(token)
 
+	startedAt := s.clock.Now()
 	s.step(node.ReplicateEntry{Token: token})
 
 	select {
@@ -272,6 +279,8 @@
 			return ErrNotReplicated
 		}
 
+		s.options.Log.Info("leaving of the worker acknowledged", "took_ms", int64(s.clock.Now()-startedAt))
+
 		return nil
 	case <-ctx.Done():
 		return eris.Wrap(ErrNotReplicated, ctx.Err().Error())
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -2,6 +2,7 @@
 package nodeserver
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -69,6 +70,8 @@
 	registrar *registrar.Core
 	// drained is set when the node starts to tell its peers that its worker is draining.
 	drained bool
+	// recoveryLogged is set once the end of the recovery has been logged.
+	recoveryLogged bool
 	// leaving is set earlier than drained, when the node starts to stop; from then on the node reports that it is not ready.
 	leaving atomic.Bool
 
@@ -307,6 +310,20 @@
 	s.announceBackend()
 	s.step(node.Tick{Wall: s.hybrid.Wall()})
 	s.limiter.Tick()
+	s.logRecovery()
+}
+
+// logRecovery logs once how the wait for what peers remember of the previous process has ended.
+func (s *Server) logRecovery() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.recoveryLogged || !s.core.Recovered() {
+		return
+	}
+
+	s.recoveryLogged = true
+	s.options.Log.Info("recovery ended", "peer_answered", s.core.PeerAnswered(), "withdrawals", len(s.core.Self().GetWithdrawals()))
 }
 
 // announceBackend reports the state of the backend server to the core and records an event if the state has changed.
@@ -314,13 +331,18 @@
 	s.stepWith(func() node.Input {
 		b := s.sharedBackend()
 		if b.State != s.core.Self().GetState() {
-			s.ring.Record(tiller.NewEvent(backendEvent(b.State), "backend server is "+tiller.StateName(b.State)))
+			s.ring.Record(tiller.NewEvent(backendEvent(b.State), "backend server is "+tiller.StateName(b.State)+", "+describe(s.registrar.Latest())))
 		}
 
 		return node.Announce{Backend: b}
 	})
 }
 
+// describe names the announcement that a state of the backend server follows from.
+func describe(a registrar.Announcement) string {
+	return fmt.Sprintf("announced by %q, born %d, with sequence %d", a.Instance, a.StartedAtMs, a.Sequence)
+}
+
 // sharedBackend returns the state of the backend server that other nodes are told. The caller holds the lock.
 func (s *Server) sharedBackend() detector.Backend {
 	b := s.registrar.Backend(s.clock.Now())
