Send no request to a server that has left while the request waited

What callers saw: nothing; a leaving server got requests later than drain after its acknowledgement, without any process being killed.

Cause: forwarder.admit asked whether the server accepts requests when an attempt arrived, and the request then waited for a slot, a claim and a connection. The linger is half of drain; a queue of 500 ms, a claim from a slow group and a dial of up to 1.5 s add up to more than the other half. The class is a condition that is checked before a wait and relied on after it. readyTarget was the only such check.

Change: the question is asked again with the slot (the server may also have started again) and in Request.BeforeSend of the exchanger, after all waits and before the first byte. Requests that wait for a slot are refused once the linger is over.

Evidence: TestRequestThatWaitedIsNotSentToALeavingServer failed in three of three cases before (200 instead of 503 for a request that waited for a slot, a claim, a connection), TestWaitingRequestsAreRefusedOnceTheServerHasLeft too. Both pass now, with all tests of calls/.

--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -42,6 +42,8 @@
 	// Identifies reports whether a matching response names this request; nil accepts every response. One that does not is accepted only on a
 	// connection without earlier requests, where it cannot be a copy of an earlier response. The connection is closed afterwards.
 	Identifies func(h http.Header) bool
+	// BeforeSend is called once a connection is open, before the first byte is sent. If it returns an error, nothing is sent. It may be nil.
+	BeforeSend func() error
 }
 
 // expectsIdentification reports whether servers name the request in their responses.
@@ -92,6 +94,14 @@
 		return nil, &ExchangeError{err: err, refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			x.put(c)
+
+			return nil, &ExchangeError{err: err}
+		}
+	}
+
 	e := &exchange{pool: x, conn: c, request: r, out: x.options.Shaper.Writer(ctx, c.writer)}
 	c.recordSent(r)
 	e.stop = context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
--- a/calls/forwarder/harness_test.go
+++ b/calls/forwarder/harness_test.go
@@ -99,12 +99,18 @@
 	owner   map[string]string
 	answers map[string]*wire.Answer
 	verdict wire.ClaimVerdict
+	// onAcquire is called when a claim is asked for; it may be nil.
+	onAcquire func()
 }
 
 func (c *fakeClaims) Acquire(_ context.Context, key claimer.Key, digest []byte, attempt string) claimer.Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	if c.onAcquire != nil {
+		c.onAcquire()
+	}
+
 	member := claimer.NewMember("a#1@a", "a", key.Home())
 	member.SetPlacement(&wire.ClaimPlacement{DataCentre: string(key.Home()), Epoch: 1, Members: []string{"a#1@a"}})
 	member.Tick(0, 0, func(string) bool { return false })
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -138,8 +138,7 @@
 // admit waits for a slot and runs the request on this worker's backend server, or refuses it. The slot is held until the answer
 // has been read, or passed on if it is too large to buffer.
 func (f *Forwarder) admit(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
-	target, err := f.readyTarget()
-	if err != nil {
+	if _, err := f.readyTarget(); err != nil {
 		return nil, err
 	}
 
@@ -165,7 +164,7 @@
 	}()
 
 	started := f.Clock.Now()
-	answer, err := f.runAdmitted(ctx, q, target, settings)
+	answer, err := f.runAdmitted(ctx, q, settings)
 	outcome = outcomeOf(answer, err)
 
 	if answer != nil {
@@ -181,7 +180,13 @@
 	return answer, err
 }
 
-func (f *Forwarder) runAdmitted(ctx context.Context, q *request, target Target, settings compiler.Effective) (*Answer, *tiller.CallError) {
+func (f *Forwarder) runAdmitted(ctx context.Context, q *request, settings compiler.Effective) (*Answer, *tiller.CallError) {
+	// The server may have left, or started again, while the request waited for a slot.
+	target, err := f.readyTarget()
+	if err != nil {
+		return nil, err
+	}
+
 	// Strikes received while the request waited for a slot count too.
 	if err := f.checkQuarantine(q, settings); err != nil {
 		return nil, err
@@ -330,7 +335,7 @@
 	header := q.header.Clone()
 	f.Dialect.SetBackendTerms(header, terms)
 
-	f.recordLeaving(q)
+	var unavailable *tiller.CallError
 
 	crash := f.crashes.next()
 	sentAt := f.Clock.Now()
@@ -340,10 +345,24 @@
 		ID: q.id, Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length,
 		Matches:    func(h http.Header) bool { return f.Dialect.Matches(h, terms) },
 		Identifies: func(h http.Header) bool { return f.Dialect.Identifies(h, terms) },
+		// The claim and the connection may have taken long.
+		BeforeSend: func() error {
+			if _, unavailable = f.readyTarget(); unavailable != nil {
+				return unavailable
+			}
+
+			f.recordLeaving(q)
+
+			return nil
+		},
 	})
 
 	done()
 
+	if unavailable != nil {
+		return nil, unavailable
+	}
+
 	if failed != nil {
 		return nil, f.backendFailure(ctx, q, target, failed, crash)
 	}
--- /dev/null
+++ b/calls/forwarder/leaving_test.go
@@ -0,0 +1,77 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+)
+
+// TestRequestThatWaitedIsNotSentToALeavingServer guards against a request that is admitted, waits, and reaches a server that has left meanwhile.
+func TestRequestThatWaitedIsNotSentToALeavingServer(t *testing.T) {
+	const (
+		maxWait = 10 * time.Second
+		poll    = time.Millisecond
+	)
+
+	leave := func(n *fakeNode) { n.leaving.Store(true) }
+
+	cases := []struct {
+		name string
+		// begin prepares the wait. It returns what is to happen once the request waits, nil if that happens by itself.
+		begin func(t *testing.T, n *fakeNode) func()
+	}{
+		{"for a slot", func(t *testing.T, n *fakeNode) func() {
+			t.Helper()
+
+			release := occupy(t, n)
+
+			return func() {
+				leave(n)
+				release()
+			}
+		}},
+		{"for its claim", func(_ *testing.T, n *fakeNode) func() {
+			n.claims.onAcquire = func() { leave(n) }
+
+			return nil
+		}},
+		{"for a connection", func(_ *testing.T, n *fakeNode) func() {
+			n.forward.BackendExchanger = exchanger.New(exchanger.Options{OnConnect: func(tiller.Address) { leave(n) }})
+
+			return nil
+		}},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newNodes(t, ok)[0]
+			leaves := tc.begin(t, n)
+			answers := make(chan answer, 1)
+
+			go func() { answers <- send(t, n, http.MethodPost, "/auditions", standin.NewKey(centre), "body") }()
+
+			if leaves != nil {
+				require.Eventually(t, func() bool {
+					waiting := 0
+					n.forward.Limiter.WithCore(func(c *limiter.Core) { waiting = c.Waiting() })
+
+					return waiting > 0
+				}, maxWait, poll)
+				leaves()
+			}
+
+			a := <-answers
+			require.Equal(t, http.StatusServiceUnavailable, a.status)
+			require.Equal(t, "not_run", a.verdict)
+			require.Equal(t, "draining", a.reason)
+			require.Zero(t, n.backend.runs.Load())
+		})
+	}
+}
--- /dev/null
+++ b/process/nodeserver/leaving_internal_test.go
@@ -0,0 +1,61 @@
+package nodeserver
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/registrar"
+)
+
+// TestWaitingRequestsAreRefusedOnceTheServerHasLeft guards against requests that are held in the queue of a server that accepts no more.
+func TestWaitingRequestsAreRefusedOnceTheServerHasLeft(t *testing.T) {
+	const linger = tiller.Second
+
+	s, err := New(Settings{
+		Name: "node-0", DataCentre: "dc0", Service: "board", Address: "127.0.0.1:0", CallAddress: "127.0.0.1:0", Controllers: []string{"127.0.0.1:1"},
+		ConnectionsOptional: true, AnnounceLeaseMs: int64(tiller.Minute), DrainLingerMs: int64(linger),
+	}, Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
+	require.NoError(t, err)
+
+	t.Cleanup(func() { require.NoError(t, s.Kill()) })
+
+	now := tiller.Minute
+	s.clock = tiller.ClockFunc(func() tiller.Millis { return now })
+	s.limiter = limiter.New(limiter.NewCore(limiter.Options{Slots: 1, QueueLength: 4, QueueTimeout: tiller.Minute}), s.clock)
+
+	_, err = s.Announce(context.Background(), registrar.Announcement{
+		Address: "127.0.0.1:80", Service: "board", Slots: 1, State: "ready", Instance: "i-1", StartedAtMs: 100, Sequence: 1,
+	})
+	require.NoError(t, err)
+
+	var refusals []*tiller.CallError
+
+	acquire := func() {
+		s.limiter.WithCore(func(c *limiter.Core) {
+			c.Acquire(now, limiter.NewDemand(0, now+tiller.Minute), func(err *tiller.CallError) { refusals = append(refusals, err) })
+		})
+	}
+
+	acquire()
+	acquire()
+	require.Equal(t, []*tiller.CallError{nil}, refusals, "one has the slot and one waits")
+	require.NoError(t, s.Withdraw(context.Background(), "i-1", 100))
+
+	now += linger - 1
+
+	s.tick()
+	require.Len(t, refusals, 1, "the server still accepts requests")
+
+	now++
+
+	s.tick()
+	require.Len(t, refusals, 2)
+	require.Equal(t, tiller.VerdictNotRun, refusals[1].Verdict())
+	require.Equal(t, tiller.ReasonDraining, refusals[1].Reason())
+}
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -310,9 +310,22 @@
 	s.announceBackend()
 	s.step(node.Tick{Wall: s.hybrid.Wall()})
 	s.limiter.Tick()
+	s.refuseWaiting()
 	s.logRecovery()
 }
 
+// refuseWaiting refuses the requests that wait for a slot once a leaving backend server accepts no more.
+func (s *Server) refuseWaiting() {
+	s.mu.Lock()
+	now := s.clock.Now()
+	left := s.registrar.Leaving() && !s.registrar.Accepts(now)
+	s.mu.Unlock()
+
+	if left {
+		s.limiter.WithCore(func(c *limiter.Core) { c.RefuseAll(now, tiller.ReasonDraining, "the worker is leaving") })
+	}
+}
+
 // logRecovery logs once how the wait for what peers remember of the previous process has ended.
 func (s *Server) logRecovery() {
 	s.mu.Lock()
