Reproduce withdrawals that a restart of all nodes loses

Fails on this code, five cases of TestWithdrawalOutlivesRestarts: a node acknowledges that its backend server leaves, all nodes of the fleet are killed and started again, and none knows the withdrawal (bound 3 s, when the node counts as in touch again). Also with clocks set back, loss and two restarts in a row.

--- a/internal/fleettest/withdrawal_test.go
+++ b/internal/fleettest/withdrawal_test.go
@@ -41,6 +41,7 @@
 	dataCentre := func(f *fleet, n *testNode) []*testNode {
 		return slices.DeleteFunc(slices.Clone(f.nodes), func(o *testNode) bool { return o.config.DataCentre != n.config.DataCentre })
 	}
+	everyNode := func(f *fleet, _ *testNode) []*testNode { return f.nodes }
 	calm := faultnet.Faults{MinDelay: 1, MaxDelay: 20}
 
 	cases := []struct {
@@ -62,6 +63,11 @@
 		{"clock set back before the restart", calm, alone, 1, tiller.Hour, 0},
 		{"with its whole data centre", calm, dataCentre, 1, 0, 0},
 		{"with its whole data centre, later", calm, dataCentre, 1, 0, 10 * tiller.Second},
+		{"with every node of the fleet", calm, everyNode, 1, 0, 0},
+		{"with every node of the fleet, later", calm, everyNode, 1, 0, 10 * tiller.Second},
+		{"with every node of the fleet, twice", calm, everyNode, 2, 0, 0},
+		{"with every node of the fleet, clocks set back", calm, everyNode, 1, tiller.Hour, 0},
+		{"with every node of the fleet, lossy network", faultnet.Faults{Loss: 0.05, Duplication: 0.1, MinDelay: 1, MaxDelay: 50}, everyNode, 1, 0, 0},
 		{"with every node of the other data centres", calm, func(f *fleet, n *testNode) []*testNode {
 			return slices.DeleteFunc(slices.Clone(f.nodes), func(o *testNode) bool { return o.config.DataCentre == n.config.DataCentre && o != n })
 		}, 1, 0, 0},
