Store withdrawals on the controllers' disks before they are acknowledged

Cause: a withdrawal was acknowledged once other nodes stored it, and nodes store it in memory only. The class is an acknowledgement whose copies share one failure.

Change: a node sends its withdrawals to all controllers it knows and acknowledges after a majority of the voters has synced them, or, where no majority replies within 400 ms, with its peers' copies alone as before; it goes on trying then. A started node asks peers and controllers and holds its server until both have replied, 500 ms at most; a later reply is applied too. Controllers keep a set for each node in a file of its own, with group commit; an unsynced withdrawal is never confirmed, also not to a repeated request.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -19,6 +19,7 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/arbiter"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/archiver"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/controller"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/replicator"
@@ -35,6 +36,11 @@
 	address string
 	core    *controller.Core
 	disk    replicator.RestoredState
+	// withdrawals are those of the nodes, and withdrawalDisk those that the controller has written to its disk.
+	withdrawals    *archiver.Core
+	withdrawalDisk []*wire.WithdrawalRecord
+	// withdrawalSyncs counts the requests of nodes.
+	withdrawalSyncs int
 	// lostDisks is how many disks the controller has lost; each has an identity of its own.
 	lostDisks int
 	up        bool
@@ -116,6 +122,7 @@
 // loseDisk starts a controller again with an empty disk.
 func (f *fleet) loseDisk(c *testController) {
 	c.disk = replicator.RestoredState{}
+	c.withdrawalDisk = nil
 	c.lostDisks++
 	f.startController(c)
 }
@@ -129,6 +136,11 @@
 		rand.New(rand.NewPCG(f.starts, 1)), c.disk)
 	require.NoError(f.t, err)
 
+	c.withdrawals = archiver.New()
+	for _, r := range c.withdrawalDisk {
+		c.withdrawals.Add(f.now, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
+	}
+
 	c.up = true
 }
 
@@ -254,13 +266,36 @@
 				f.pulls[f.now/tiller.Second]++
 			}
 
-			f.stepController(c, controller.Receive{Envelope: e})
+			f.deliverToController(c, e)
 		} else if n := nodes[e.GetTo()]; n != nil {
 			f.stepNode(n, node.Receive{Wall: f.now, Envelope: e})
 		}
 	}
 }
 
+func (f *fleet) deliverToController(c *testController, e *wire.Envelope) {
+	r := e.GetWithdrawalSync()
+	if r == nil {
+		f.stepController(c, controller.Receive{Envelope: e})
+
+		return
+	}
+
+	if !c.up {
+		return
+	}
+
+	c.withdrawalSyncs++
+	known := c.withdrawals.List(f.now, r.GetNode())
+	if added, _ := c.withdrawals.Add(f.now, r.GetNode(), detector.FromWire(r.GetWithdrawals())); added {
+		c.withdrawalDisk = append(c.withdrawalDisk, &wire.WithdrawalRecord{Node: r.GetNode(), Withdrawals: r.GetWithdrawals()})
+	}
+
+	f.net.Send(f.now, &wire.Envelope{From: c.address, To: e.GetFrom(), Body: &wire.Envelope_WithdrawalSyncReply{
+		WithdrawalSyncReply: &wire.WithdrawalSyncReply{Nonce: r.GetNonce(), Withdrawals: detector.ToWire(known), Controllers: c.core.Voters()},
+	}})
+}
+
 // until runs the fleet until a condition holds and returns how long it took. It fails the test if that takes longer than the bound.
 func (f *fleet) until(bound tiller.Millis, what string, ok func() bool) tiller.Millis {
 	f.t.Helper()
--- a/internal/fleettest/withdrawal_test.go
+++ b/internal/fleettest/withdrawal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -206,3 +207,108 @@
 	require.Len(t, own, 8)
 	require.Equal(t, "i-49", own[7].GetInstance(), "the latest are kept")
 }
+
+// TestWithdrawalOutlivesAPowerLoss guards against a withdrawal that is forgotten when nodes and controllers lose power together.
+func TestWithdrawalOutlivesAPowerLoss(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// lostDisk is the index of the controller that returns with an empty disk, negative if all keep theirs.
+		lostDisk int
+		// controllersDown is how much longer than the nodes the controllers are down.
+		controllersDown tiller.Millis
+	}{
+		{"all return together", -1, 0},
+		{"the controllers return later", -1, 4 * tiller.Second},
+		{"a controller loses its disk", 0, 0},
+		{"another controller loses its disk", 1, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f, _ := settledFleet(t, 3, 5)
+			n := f.nodes[7]
+			w := detector.Withdrawal{Instance: "i-1", StartedAtMs: 100, Sequence: detector.AllSequences}
+			require.True(t, f.withdraw(n, w))
+			require.True(t, n.replicated[0].Archived)
+
+			for _, c := range f.controllers {
+				c.up = false
+			}
+
+			for _, o := range f.nodes {
+				o.up = false
+			}
+
+			f.run(restartDelay)
+
+			for _, o := range f.nodes {
+				f.startNode(o)
+			}
+
+			f.run(tc.controllersDown)
+
+			for i, c := range f.controllers {
+				if i == tc.lostDisk {
+					f.loseDisk(c)
+				} else {
+					f.startController(c)
+				}
+			}
+
+			f.until(restoreBound, "the restarted node knows the withdrawal again", func() bool { return len(n.restored) > 0 })
+			require.Equal(t, []detector.Withdrawal{w}, n.restored)
+		})
+	}
+}
+
+// TestWithdrawalIsAcknowledgedWithoutControllers guards against a server that waits for its acknowledgement as long as controllers are out of reach.
+func TestWithdrawalIsAcknowledgedWithoutControllers(t *testing.T) {
+	f, _ := settledFleet(t, 3, 5)
+	n := f.nodes[7]
+	toController := func(from, to string) bool { return strings.Contains(from, "/c") || strings.Contains(to, "/c") }
+
+	f.net.Partition(toController)
+
+	began := f.now
+	require.True(t, f.withdraw(n, detector.Withdrawal{Instance: "i-1", StartedAtMs: 100, Sequence: detector.AllSequences}))
+	require.False(t, n.replicated[0].Archived)
+	require.LessOrEqual(t, f.now-began, node.ArchiveTimeout+2*stepMs)
+
+	f.net.Partition(func(string, string) bool { return false })
+	f.until(restoreBound, "the controllers store the withdrawal", func() bool {
+		for _, c := range f.controllers {
+			if len(c.withdrawals.List(f.now, n.config.Name)) == 0 {
+				return false
+			}
+		}
+
+		return true
+	})
+}
+
+// TestStartedNodesAskTheControllersInTime bounds how long servers may stay unused after a restart of all nodes, and the messages to a controller.
+func TestStartedNodesAskTheControllersInTime(t *testing.T) {
+	f, _ := settledFleet(t, 3, 20)
+	for _, n := range f.nodes {
+		n.up = false
+	}
+
+	f.run(restartDelay)
+
+	for _, c := range f.controllers {
+		c.withdrawalSyncs = 0
+	}
+
+	for _, n := range f.nodes {
+		f.startNode(n)
+	}
+
+	took := f.until(detector.RecoveryTimeout, "all nodes have recovered", func() bool {
+		return !slices.ContainsFunc(f.nodes, func(n *testNode) bool { return !n.core.Recovered() || !n.core.ControllersAnswered() })
+	})
+	t.Logf("all nodes had recovered after %d ms", took)
+
+	f.run(5 * tiller.Second)
+
+	for _, c := range f.controllers {
+		require.LessOrEqual(t, c.withdrawalSyncs, len(f.nodes), "a node asks each controller once")
+	}
+}
--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -155,6 +155,8 @@
 		c.introduce(e.Addresses)
 	case Replicate:
 		c.replicate(e.Token)
+	case Restore:
+		c.restoreWithdrawals(e.Withdrawals)
 	case Leave:
 		c.leave()
 	}
@@ -243,7 +245,7 @@
 		e.Connections = uint32(max(b.Connections, 0))
 		e.Instance = b.Instance
 		e.ColdUntil = int64(b.ColdUntil)
-		e.Withdrawals = toWire(latest(b.Withdrawals))
+		e.Withdrawals = ToWire(latest(b.Withdrawals))
 	})
 }
 
--- a/membership/detector/input.go
+++ b/membership/detector/input.go
@@ -26,12 +26,16 @@
 // Replicate sends the node's entry to peers until enough of them store it. The result is in Effects.Replicated.
 type Replicate struct{ Token uint64 }
 
+// Restore adds withdrawals that controllers remember from the node's previous process.
+type Restore struct{ Withdrawals []Withdrawal }
+
 func (Tick) input()      {}
 func (Receive) input()   {}
 func (Announce) input()  {}
 func (Introduce) input() {}
 func (Leave) input()     {}
 func (Replicate) input() {}
+func (Restore) input()   {}
 
 // Backend is the state of a backend server that its node shares with other nodes.
 type Backend struct {
--- a/membership/detector/replication.go
+++ b/membership/detector/replication.go
@@ -25,6 +25,8 @@
 	Token uint64
 	// Stored is set if enough peers store the entry.
 	Stored bool
+	// Archived is set if a majority of the controllers also stores its withdrawals. The detector leaves it unset.
+	Archived bool
 }
 
 // replication is a Replicate in progress.
--- a/membership/detector/withdrawal.go
+++ b/membership/detector/withdrawal.go
@@ -31,7 +31,8 @@
 	Sequence uint64
 }
 
-func fromWire(ws []*wire.Withdrawal) []Withdrawal {
+// FromWire returns withdrawals from their encoding.
+func FromWire(ws []*wire.Withdrawal) []Withdrawal {
 	out := make([]Withdrawal, 0, len(ws))
 	for _, w := range ws {
 		out = append(out, Withdrawal{Instance: w.GetInstance(), StartedAtMs: w.GetStartedAt(), Sequence: w.GetSequence()})
@@ -40,7 +41,8 @@
 	return out
 }
 
-func toWire(ws []Withdrawal) []*wire.Withdrawal {
+// ToWire returns the encoding of withdrawals.
+func ToWire(ws []Withdrawal) []*wire.Withdrawal {
 	out := make([]*wire.Withdrawal, 0, len(ws))
 	for _, w := range ws {
 		out = append(out, &wire.Withdrawal{Instance: w.Instance, StartedAt: w.StartedAtMs, Sequence: w.Sequence})
@@ -58,11 +60,14 @@
 func latest(ws []Withdrawal) []Withdrawal { return ws[max(0, len(ws)-maxWithdrawals):] }
 
 // Withdrawals returns the withdrawals in the node's own entry.
-func (c *Core) Withdrawals() []Withdrawal { return fromWire(c.self.GetWithdrawals()) }
+func (c *Core) Withdrawals() []Withdrawal { return FromWire(c.self.GetWithdrawals()) }
 
 // Recovered reports whether a peer has told the node what it remembers of the node's previous process, or whether the wait for one is over.
-func (c *Core) Recovered() bool {
-	return c.contacted || (c.startedAt > 0 && c.now >= c.startedAt+RecoveryTimeout)
+func (c *Core) Recovered() bool { return c.contacted || c.RecoveryTimedOut() }
+
+// RecoveryTimedOut reports whether the wait for what others remember of the node's previous process is over.
+func (c *Core) RecoveryTimedOut() bool {
+	return c.startedAt > 0 && c.now >= c.startedAt+RecoveryTimeout
 }
 
 // PeerAnswered reports whether a peer has told the node what it remembers of the node's previous process.
@@ -71,15 +76,20 @@
 // restore adds to the node's own entry the withdrawals that only its peers remember from its previous process.
 func (c *Core) restore(e *wire.NodeEntry) {
 	c.contacted = true
-	own := c.Withdrawals()
+	c.restoreWithdrawals(FromWire(e.GetWithdrawals()))
+}
 
-	missing := missingFrom(own, fromWire(e.GetWithdrawals()))
+// restoreWithdrawals adds withdrawals of the previous process to the node's own entry.
+func (c *Core) restoreWithdrawals(ws []Withdrawal) {
+	missing := missingFrom(c.Withdrawals(), ws)
 	if len(missing) == 0 {
 		return
 	}
 
 	c.out.Restored = append(c.out.Restored, missing...)
-	c.changeSelf(func(s *wire.NodeEntry) { s.Withdrawals = toWire(latest(slices.Concat(missing, own))) })
+	c.changeSelf(func(s *wire.NodeEntry) {
+		s.Withdrawals = ToWire(latest(slices.Concat(missing, FromWire(s.GetWithdrawals()))))
+	})
 }
 
 // carryOver returns the withdrawals of a node's previous process that the node's new entry lacks. They are kept beside the entry until the
@@ -91,10 +101,10 @@
 
 	carried := old.carried
 	if e.GetIncarnation() != old.entry.GetIncarnation() {
-		carried = slices.Concat(carried, fromWire(old.entry.GetWithdrawals()))
+		carried = slices.Concat(carried, FromWire(old.entry.GetWithdrawals()))
 	}
 
-	return latest(missingFrom(fromWire(e.GetWithdrawals()), carried))
+	return latest(missingFrom(FromWire(e.GetWithdrawals()), carried))
 }
 
 // withCarried returns a node's entry with the withdrawals that the node has to take back, or the entry itself if there are none.
@@ -108,7 +118,7 @@
 		return r.entry
 	}
 
-	e.Withdrawals = append(e.Withdrawals, toWire(r.carried)...)
+	e.Withdrawals = append(e.Withdrawals, ToWire(r.carried)...)
 
 	return e
 }
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -63,6 +64,10 @@
 	pendingEdits map[uint64]chan *wire.ApplyReply
 	pendingReads map[uint64]chan bool
 
+	withdrawals *withdrawalKeeper
+	// voters are the addresses of the voting controllers.
+	voters atomic.Pointer[[]string]
+
 	transport *transporter.Transporter
 	http      *http.Server
 	listener  net.Listener
@@ -95,7 +100,9 @@
 	}
 
 	s.transport = transport
-	transport.SetReceiver(tiller.ReceiverFunc(func(e *wire.Envelope) { s.step(controller.Receive{Envelope: e}) }))
+	transport.SetReceiver(tiller.ReceiverFunc(s.receive))
+
+	s.openWithdrawals()
 
 	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", transporter.ListenAddress(settings.Address, settings.BindHost))
 	if err != nil {
@@ -116,6 +123,39 @@
 	return s, nil
 }
 
+// openWithdrawals opens the store of the nodes' withdrawals.
+func (s *Server) openWithdrawals() {
+	s.withdrawals = newWithdrawalKeeper(s.settings.DataFolder, s.clock, s.options.Log, s.options.Metrics)
+	s.withdrawals.send = s.transport.Send
+	s.withdrawals.voters = func() []string { return *s.voters.Load() }
+	s.updateVoters()
+}
+
+// receive handles a message of another process.
+func (s *Server) receive(e *wire.Envelope) {
+	if e.GetWithdrawalSync() != nil {
+		s.withdrawals.receive(e)
+
+		return
+	}
+
+	s.step(controller.Receive{Envelope: e})
+}
+
+// tick advances the timers.
+func (s *Server) tick() {
+	s.step(controller.Tick{})
+	s.updateVoters()
+}
+
+func (s *Server) updateVoters() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	voters := s.core.Voters()
+	s.voters.Store(&voters)
+}
+
 // open opens the journal and restores the core from it.
 func (s *Server) open() error {
 	if slices.Contains(s.settings.InitialVoters, s.settings.Address) {
@@ -297,9 +337,10 @@
 func (s *Server) Parts() []runner.Part {
 	parts := []runner.Part{
 		runner.NewPart("journal", s.waitForStop, func(context.Context) error { return s.closeJournal() }),
+		s.withdrawals.part(),
 		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
 		runner.NewHTTP("operators", s.http, s.listener),
-		runner.NewPart("timer", runner.Every(tickPeriod, func() { s.step(controller.Tick{}) }), nil),
+		runner.NewPart("timer", runner.Every(tickPeriod, s.tick), nil),
 	}
 	if s.monitorListener != nil {
 		parts = append(parts, runner.NewHTTP("monitor", s.monitor, s.monitorListener))
--- /dev/null
+++ b/process/controlserver/withdrawals.go
@@ -0,0 +1,164 @@
+package controlserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/archiver"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// maxQueuedSyncs bounds the requests of nodes that wait for the disk; nodes repeat those that are dropped.
+const maxQueuedSyncs = 4096
+
+// withdrawalFile is the file of withdrawals on the controller's disk. After a failure, only Replace makes it usable again.
+type withdrawalFile interface {
+	Append(records []*wire.WithdrawalRecord) error
+	Replace(records []*wire.WithdrawalRecord) error
+	// IsLarge reports whether the file should be replaced.
+	IsLarge() bool
+	Close() error
+}
+
+var _ withdrawalFile = (*journaler.WithdrawalLog)(nil)
+
+// withdrawalKeeper stores the withdrawals that nodes send and replies once they are durable. It has a file and a goroutine of its own, so that
+// neither delays the replicated log; the requests that arrive during one sync share the next.
+type withdrawalKeeper struct {
+	core     *archiver.Core
+	file     withdrawalFile
+	clock    tiller.Clock
+	requests chan *wire.Envelope
+	// voters returns the addresses of the voting controllers.
+	voters func() []string
+	send   func(envelopes ...*wire.Envelope)
+	log    logr.Logger
+	synced metrics.Timer
+	// stale is set while the file may lack withdrawals of the core.
+	stale bool
+}
+
+// newWithdrawalKeeper returns a keeper with the withdrawals in a data folder. A file that cannot be opened now is tried again with the next
+// request.
+func newWithdrawalKeeper(folder string, clock tiller.Clock, log logr.Logger, registry metrics.Registry) *withdrawalKeeper {
+	file, records, err := journaler.OpenWithdrawalLog(folder)
+	k := &withdrawalKeeper{
+		core: archiver.New(), file: file, clock: clock, requests: make(chan *wire.Envelope, maxQueuedSyncs), log: log,
+		synced: metrics.GetOrRegisterTimer("withdrawals.sync", registry), stale: err != nil,
+	}
+
+	for _, r := range records {
+		k.core.Add(clock.Now(), r.GetNode(), detector.FromWire(r.GetWithdrawals()))
+	}
+
+	if err != nil {
+		log.Error(err, "withdrawals cannot be stored now")
+	}
+
+	return k
+}
+
+// receive queues a request without waiting.
+func (k *withdrawalKeeper) receive(e *wire.Envelope) {
+	select {
+	case k.requests <- e:
+	default:
+	}
+}
+
+// part returns the part of the process that serves the requests.
+func (k *withdrawalKeeper) part() runner.Part {
+	return runner.NewPart("withdrawals", func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return k.file.Close()
+			case e := <-k.requests:
+				k.serve(k.batch(e))
+			}
+		}
+	}, nil)
+}
+
+// batch returns a request with all that are queued behind it.
+func (k *withdrawalKeeper) batch(first *wire.Envelope) []*wire.Envelope {
+	out := []*wire.Envelope{first}
+
+	for {
+		select {
+		case e := <-k.requests:
+			out = append(out, e)
+		default:
+			return out
+		}
+	}
+}
+
+// serve stores the withdrawals of a batch and replies. Requests whose withdrawals could not be stored get no reply.
+func (k *withdrawalKeeper) serve(batch []*wire.Envelope) {
+	var (
+		records []*wire.WithdrawalRecord
+		replies []*wire.Envelope
+		recalls []*wire.Envelope
+	)
+
+	voters := k.voters()
+
+	for _, e := range batch {
+		r := e.GetWithdrawalSync()
+		reply := &wire.WithdrawalSyncReply{
+			Nonce: r.GetNonce(), Controllers: voters, Withdrawals: detector.ToWire(k.core.List(k.clock.Now(), r.GetNode())),
+		}
+		added, complete := k.core.Add(k.clock.Now(), r.GetNode(), detector.FromWire(r.GetWithdrawals()))
+
+		if added {
+			records = append(records, &wire.WithdrawalRecord{Node: r.GetNode(), Withdrawals: r.GetWithdrawals()})
+		}
+
+		answer := wire.ReplyOverStream(e, []*wire.Envelope{{
+			From: e.GetTo(), To: e.GetFrom(), Body: &wire.Envelope_WithdrawalSyncReply{WithdrawalSyncReply: reply},
+		}})
+
+		switch {
+		case len(r.GetWithdrawals()) == 0:
+			recalls = append(recalls, answer...)
+		case complete:
+			replies = append(replies, answer...)
+		}
+	}
+
+	k.send(recalls...)
+
+	if len(replies) > 0 && k.persist(records) {
+		k.send(replies...)
+	}
+}
+
+// persist makes new records durable and reports whether the file holds all withdrawals of the core.
+func (k *withdrawalKeeper) persist(records []*wire.WithdrawalRecord) bool {
+	var err error
+
+	defer k.synced.UpdateSince(time.Now())
+
+	switch {
+	case k.stale || k.file.IsLarge():
+		err = k.file.Replace(k.core.Records(k.clock.Now()))
+	case len(records) > 0:
+		err = k.file.Append(records)
+	}
+
+	if err != nil && !k.stale {
+		k.log.Error(err, "withdrawals cannot be stored now")
+	}
+
+	k.stale = err != nil
+
+	return !k.stale
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -10,6 +10,7 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/distribution/subscriber"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/synchronizer"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
@@ -113,6 +114,9 @@
 	config       Config
 	detector     *detector.Core
 	subscriber   *subscriber.Core
+	synchronizer *synchronizer.Core
+	// replications wait for the controllers; enough peers store their entries.
+	replications []replication
 	member       *claimer.Member
 	claimant     *claimer.Claimant
 	crashRecords *quarantiner.Registry
@@ -136,10 +140,11 @@
 
 	c := &Core{
 		config: config, crashRecords: crashRecords,
-		detector:   detector.New(self, config.Seeds, random, detector.WithAddressCheck(config.CheckAddress)),
-		subscriber: subscriber.New(config.Name, config.Address, config.DataCentre, config.Controllers, random),
-		claimant:   claimer.NewClaimant(config.Address),
-		strikes:    newStrikeTracker(random),
+		detector:     detector.New(self, config.Seeds, random, detector.WithAddressCheck(config.CheckAddress)),
+		synchronizer: synchronizer.New(config.Name, config.Address, config.Controllers, random),
+		subscriber:   subscriber.New(config.Name, config.Address, config.DataCentre, config.Controllers, random),
+		claimant:     claimer.NewClaimant(config.Address),
+		strikes:      newStrikeTracker(random),
 	}
 	c.member = claimer.NewMember(c.claimIdentity(), config.Address, config.DataCentre)
 
@@ -167,8 +172,9 @@
 		c.out.Messages = wire.ReplyOverStream(e.Envelope, c.out.Messages)
 	case Announce:
 		c.detect(detector.Announce{Backend: e.Backend})
+		c.synchronize()
 	case ReplicateEntry:
-		c.detect(detector.Replicate{Token: e.Token})
+		c.replicate(e.Token)
 	case AcquireClaim:
 		messages, results := c.claimant.Acquire(c.now, e.Key, e.Digest, e.Attempt)
 		c.sendClaims(messages)
@@ -190,6 +196,7 @@
 func (c *Core) tick(wall tiller.Millis) {
 	c.detector.SetAdvertisement(c.subscriber.Advertisement())
 	c.detect(detector.Tick{})
+	c.synchronize()
 	c.refreshView()
 	c.subscribe(subscriber.Tick{View: c.view, ClaimEpoch: c.member.ServingEpoch()})
 
@@ -247,7 +254,7 @@
 	c.out.Messages = append(c.out.Messages, e.Messages...)
 	c.out.Events = append(c.out.Events, e.Events...)
 	c.out.Restored = append(c.out.Restored, e.Restored...)
-	c.out.Replicated = append(c.out.Replicated, e.Replicated...)
+	c.finishReplications(e.Replicated)
 
 	for _, address := range e.Started {
 		c.sendCrashRecords(address)
@@ -294,6 +301,8 @@
 		c.subscribe(subscriber.Receive{Envelope: e})
 	case *wire.Envelope_TablePush:
 		c.detect(detector.Receive{Envelope: e})
+	case *wire.Envelope_WithdrawalSyncReply:
+		c.receiveWithdrawals(e.GetFrom(), b.WithdrawalSyncReply)
 	case *wire.Envelope_Claim, *wire.Envelope_ClaimFetch, *wire.Envelope_ClaimState:
 		messages, events := c.member.Receive(wall, e)
 		c.out.Events = append(c.out.Events, events...)
@@ -331,7 +340,10 @@
 }
 
 // SetControllers replaces the controller addresses given in the settings.
-func (c *Core) SetControllers(addresses []tiller.Address) { c.subscriber.SetControllers(addresses) }
+func (c *Core) SetControllers(addresses []tiller.Address) {
+	c.subscriber.SetControllers(addresses)
+	c.synchronizer.SetControllers(addresses)
+}
 
 // Lag returns how long a version newer than the one in force has been known, zero if no newer one is known.
 func (c *Core) Lag() tiller.Millis { return c.subscriber.Lag() }
@@ -360,12 +372,6 @@
 // Self returns the node's own entry.
 func (c *Core) Self() *wire.NodeEntry { return c.detector.Self() }
 
-// Recovered reports whether the node has learnt what its peers remember of its previous process, or has stopped waiting for it.
-func (c *Core) Recovered() bool { return c.detector.Recovered() }
-
-// PeerAnswered reports whether a peer has told the node what it remembers of its previous process.
-func (c *Core) PeerAnswered() bool { return c.detector.PeerAnswered() }
-
 // Rank returns the node's position in the ranking of its data centre's nodes.
 func (c *Core) Rank() int { return c.detector.SelfRank() }
 
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -274,12 +274,12 @@
 	s.step(node.ReplicateEntry{Token: token})
 
 	select {
-	case ok := <-stored:
-		if !ok {
+	case r := <-stored:
+		if !r.Stored {
 			return ErrNotReplicated
 		}
 
-		s.options.Log.Info("leaving of the worker acknowledged", "took_ms", int64(s.clock.Now()-startedAt))
+		s.options.Log.Info("leaving of the worker acknowledged", "took_ms", int64(s.clock.Now()-startedAt), "stored_by_controllers", r.Archived)
 
 		return nil
 	case <-ctx.Done():
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -80,7 +80,7 @@
 	link         *shaper.Shaper
 	claims       waiters[string, claimer.Result]
 	crashReports waiters[uint64, struct{}]
-	replications waiters[uint64, bool]
+	replications waiters[uint64, detector.Replication]
 	lastToken    atomic.Uint64
 	crashRecords *quarantiner.Registry
 
@@ -326,7 +326,7 @@
 	}
 }
 
-// logRecovery logs once how the wait for what peers remember of the previous process has ended.
+// logRecovery logs once how the wait for what others remember of the previous process has ended.
 func (s *Server) logRecovery() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -336,7 +336,8 @@
 	}
 
 	s.recoveryLogged = true
-	s.options.Log.Info("recovery ended", "peer_answered", s.core.PeerAnswered(), "withdrawals", len(s.core.Self().GetWithdrawals()))
+	s.options.Log.Info("recovery ended", "peer_answered", s.core.PeerAnswered(), "controllers_answered", s.core.ControllersAnswered(),
+		"withdrawals", len(s.core.Self().GetWithdrawals()))
 }
 
 // announceBackend reports the state of the backend server to the core and records an event if the state has changed.
--- a/process/nodeserver/step.go
+++ b/process/nodeserver/step.go
@@ -28,7 +28,7 @@
 	}
 
 	for _, w := range effects.Restored {
-		s.options.Log.Info("withdrawal restored from a peer", "instance", w.Instance, "born", w.StartedAtMs, "sequence", w.Sequence)
+		s.options.Log.Info("withdrawal restored", "instance", w.Instance, "born", w.StartedAtMs, "sequence", w.Sequence)
 	}
 
 	s.vitals.record(effects)
@@ -44,7 +44,7 @@
 	}
 
 	for _, r := range effects.Replicated {
-		s.replications.resolve(r.Token, r.Stored)
+		s.replications.resolve(r.Token, r)
 	}
 }
 
--- /dev/null
+++ b/source/archiver/archiver.go
@@ -0,0 +1,122 @@
+// Package archiver holds the withdrawals that a controller stores for nodes, so that they outlast a restart of all nodes. It performs no I/O.
+package archiver
+
+import (
+	"slices"
+
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+const (
+	// Lifetime is how long a withdrawal is kept after it was stored or loaded. Nodes remember withdrawals for a minute.
+	Lifetime = 2 * tiller.Minute
+	// MaxPerNode bounds the withdrawals of a node; the latest are kept.
+	MaxPerNode = 8
+	// MaxNodes bounds the nodes with withdrawals.
+	MaxNodes = 10_000
+
+	// sweepPeriod is how often the withdrawals of all nodes are searched for expired ones.
+	sweepPeriod = tiller.Second
+)
+
+// withdrawal is a withdrawal with the time at which it may be forgotten.
+type withdrawal struct {
+	detector.Withdrawal
+	expiresAt tiller.Millis
+}
+
+// Core is the store of one controller. It is not safe for concurrent use.
+type Core struct {
+	clock       tiller.MonotonicClock
+	now         tiller.Millis
+	nextSweepAt tiller.Millis
+	nodes       map[string][]withdrawal
+}
+
+// New returns an empty store.
+func New() *Core { return &Core{nodes: map[string][]withdrawal{}} }
+
+// List returns the withdrawals of a node, oldest first.
+func (c *Core) List(reading tiller.Millis, node string) []detector.Withdrawal {
+	c.advance(reading)
+	c.expire(node)
+
+	out := make([]detector.Withdrawal, 0, len(c.nodes[node]))
+	for _, w := range c.nodes[node] {
+		out = append(out, w.Withdrawal)
+	}
+
+	return out
+}
+
+// Add adds withdrawals of a node. It reports whether any was new, which the caller must make durable, and whether the store now holds all of them:
+// one that no node can have issued, or that is beyond the limits, is left out.
+func (c *Core) Add(reading tiller.Millis, node string, withdrawals []detector.Withdrawal) (added, complete bool) {
+	c.advance(reading)
+	c.expire(node)
+
+	if node == "" || len(node) > detector.MaxTextBytes || (c.nodes[node] == nil && len(c.nodes) >= MaxNodes) {
+		return false, len(withdrawals) == 0
+	}
+
+	for _, w := range withdrawals {
+		if len(w.Instance) > detector.MaxTextBytes || c.has(node, w) {
+			continue
+		}
+
+		added = true
+		c.nodes[node] = append(c.nodes[node], withdrawal{Withdrawal: w, expiresAt: c.now + Lifetime})
+		c.nodes[node] = c.nodes[node][max(0, len(c.nodes[node])-MaxPerNode):]
+	}
+
+	return added, !slices.ContainsFunc(withdrawals, func(w detector.Withdrawal) bool { return !c.has(node, w) })
+}
+
+func (c *Core) has(node string, w detector.Withdrawal) bool {
+	return slices.ContainsFunc(c.nodes[node], func(known withdrawal) bool { return known.Withdrawal == w })
+}
+
+// Records returns all withdrawals in an order of their nodes' names.
+func (c *Core) Records(reading tiller.Millis) []*wire.WithdrawalRecord {
+	c.advance(reading)
+
+	nodes := tiller.NewSet[string]()
+	for node := range c.nodes {
+		nodes.Add(node)
+	}
+
+	out := make([]*wire.WithdrawalRecord, 0, len(c.nodes))
+	for _, node := range nodes.Sorted() {
+		if ws := c.List(reading, node); len(ws) > 0 {
+			out = append(out, &wire.WithdrawalRecord{Node: node, Withdrawals: detector.ToWire(ws)})
+		}
+	}
+
+	return out
+}
+
+// advance moves the time forward and forgets the withdrawals that have expired.
+func (c *Core) advance(reading tiller.Millis) {
+	c.now = c.clock.Advance(reading)
+	if c.now < c.nextSweepAt {
+		return
+	}
+
+	c.nextSweepAt = c.now + sweepPeriod
+
+	for node := range c.nodes {
+		c.expire(node)
+	}
+}
+
+// expire forgets the withdrawals of a node that have expired.
+func (c *Core) expire(node string) {
+	list := slices.DeleteFunc(c.nodes[node], func(w withdrawal) bool { return c.now >= w.expiresAt })
+	if len(list) == 0 {
+		delete(c.nodes, node)
+	} else {
+		c.nodes[node] = list
+	}
+}
--- a/source/controller/controller.go
+++ b/source/controller/controller.go
@@ -369,6 +369,19 @@
 // SetPeers replaces the controllers listed in the settings.
 func (c *Core) SetPeers(peers []tiller.Address) { c.peers = peers }
 
+// Voters returns the addresses of the voting members.
+func (c *Core) Voters() []string {
+	var out []string
+
+	for _, m := range c.log.Members() {
+		if m.GetVoter() {
+			out = append(out, m.GetAddress())
+		}
+	}
+
+	return out
+}
+
 // Leader returns the address of the leading controller, empty if unknown.
 func (c *Core) Leader() tiller.Address { return c.log.Leader() }
 
--- a/source/journaler/journaler.go
+++ b/source/journaler/journaler.go
@@ -340,10 +340,12 @@
 	return j.reopen(path, int64(len(frame)))
 }
 
-// writeFile writes a synced file under a temporary name, renames it and syncs the folder.
 func (j *Journal) writeFile(name string, data []byte) error {
-	path := filepath.Join(j.folder, name)
+	return writeFile(filepath.Join(j.folder, name), data)
+}
 
+// writeFile writes a synced file under a temporary name, renames it and syncs its folder.
+func writeFile(path string, data []byte) error {
 	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return eris.Wrap(err, "create file")
@@ -358,11 +360,11 @@
 		return eris.Wrap(err, "rename file")
 	}
 
-	return j.syncFolder()
+	return syncFolder(filepath.Dir(path))
 }
 
-func (j *Journal) syncFolder() error {
-	d, err := os.Open(j.folder)
+func syncFolder(folder string) error {
+	d, err := os.Open(folder)
 	if err != nil {
 		return eris.Wrap(err, "open data folder")
 	}
