Begin no call that may last longer than a planned stop

What callers saw: after a SIGTERM, a request whose head, body or predecessor ended late was passed on, and its connection was closed without an answer at the end of the drain time, also where it may run once.

Cause: the end of the drain time was known to the shutdown of the listeners only, not to the call path. Each part computed it anew when its turn came, so that notice, callers and other nodes could add up to 8.7 s of a grace period of 6 s. The class is work that is begun although the process cannot see it to its end.

Change: the node sets one stop time when it begins to stop. After the notice, the outbound proxy begins an attempt only if the call's time ends before it, and refuses others at once as not run. Both addresses close at that time.

--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -82,6 +82,10 @@
 	var last *tiller.CallError
 
 	for {
+		if err := f.checkStop(c.request); err != nil {
+			return nil, moreSevere(last, err)
+		}
+
 		backend, noWait, ok := f.pickWorker(c, search)
 		if !ok {
 			return nil, noWorker(c, last)
--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -124,7 +124,9 @@
 // Forwarder is the HTTP handler of a node for callers and for other nodes.
 type Forwarder struct {
 	Options
-	draining   atomic.Bool
+	draining atomic.Bool
+	// stopAt is when the connections of callers are closed, as tiller.Millis by Options.Clock; it counts once draining is set.
+	stopAt     atomic.Int64
 	lastShedAt atomic.Int64
 	latency    metrics.Timer
 	served     metrics.Counter
@@ -160,8 +162,24 @@
 	}
 }
 
-// Drain makes the inbound proxy refuse new attempts as not run.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
+// Drain makes the inbound proxy refuse new attempts as not run, and the outbound proxy those calls that may still be unanswered when the
+// connections of callers are closed, at stopAt by Options.Clock.
+func (f *Forwarder) Drain(stopAt tiller.Millis) {
+	f.stopAt.Store(int64(stopAt))
+	f.draining.Store(true)
+}
+
+// checkStop refuses an attempt that may last until the node has stopped.
+func (f *Forwarder) checkStop(q *request) *tiller.CallError {
+	if !f.draining.Load() || int64(q.deadline+stopMargin) <= f.stopAt.Load() {
+		return nil
+	}
+
+	return notRun(tiller.ReasonDraining, "the node stops before the call's time is over").WithUntried()
+}
+
+// stopMargin is the time for returning an answer before the connections of callers are closed.
+const stopMargin tiller.Millis = 100
 
 // ServeHTTP serves a call of a caller, or an attempt that another node sent to this worker.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -104,7 +104,7 @@
 }
 
 // leave stops serving in two steps. Callers are notified first, while the worker still takes calls from other nodes; the other nodes are
-// notified next. At the end of the notice period the node refuses new calls.
+// notified next. At the end of the notice period the node refuses new calls, except those of callers that are sure to end in time.
 func (s *Server) leave(ctx context.Context) error {
 	s.leaving.Store(true)
 
@@ -113,6 +113,8 @@
 	}
 
 	notice := time.Duration(s.settings.LeaveNoticeMs) * time.Millisecond
+	stopAt := s.beginStop()
+
 	pause(ctx, notice-peerNoticePeriod)
 
 	s.mu.Lock()
@@ -122,15 +124,26 @@
 	s.tick()
 
 	if notice == 0 {
-		s.forwarder.Drain()
+		s.forwarder.Drain(stopAt)
 	}
 
 	pause(ctx, peerNoticePeriod)
-	s.forwarder.Drain()
+	s.forwarder.Drain(stopAt)
 
 	return nil
 }
 
+// beginStop sets and returns the time at which connections are closed: the drain time after the end of the notice.
+func (s *Server) beginStop() tiller.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	notice := max(tiller.Millis(s.settings.LeaveNoticeMs), tiller.Millis(peerNoticePeriod.Milliseconds()))
+	s.stopAt = s.clock.Now() + notice + s.drainTime()
+
+	return s.stopAt
+}
+
 // peerNoticePeriod is the time for other nodes to learn that the worker is draining; membership entries spread in tenths of a second.
 const peerNoticePeriod = 500 * time.Millisecond
 
@@ -141,28 +154,40 @@
 	}
 }
 
-// withDrainTimeout bounds the wait for calls in flight by the shorter of two limits: that of the settings file, which is chosen to end before
-// the process is killed, and that of the document.
-func (s *Server) withDrainTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+// drainTime returns the wait for calls in flight: the shorter of that in the settings file, which is chosen to end before the process is killed,
+// and that in the document.
+func (s *Server) drainTime() tiller.Millis {
 	span := tiller.Millis(s.settings.DrainMs)
 	if t := s.table.Load(); t != nil {
 		span = min(span, t.OwnSettings().Seconds(tiller.SettingDrainSeconds))
 	}
 
+	return span
+}
+
+// minStopTime is the time for closing idle connections where no drain time is left.
+const minStopTime tiller.Millis = 100
+
+// untilStop returns a context that ends when the connections of callers and other nodes are to be closed.
+func (s *Server) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	span := max(s.stopAt-s.clock.Now(), minStopTime)
+	s.mu.Unlock()
+
 	return context.WithTimeout(ctx, span.Duration())
 }
 
-// stopCallers stops the separate caller address and waits for its calls in flight, up to the drain time.
+// stopCallers stops the separate caller address and waits for its calls in flight until the node's stop time.
 func (s *Server) stopCallers(ctx context.Context) error {
-	bounded, cancel := s.withDrainTimeout(ctx)
+	bounded, cancel := s.untilStop(ctx)
 	defer cancel()
 
 	return eris.Wrap(s.callers.Shutdown(bounded), "calls of callers still in flight at the end of the drain time")
 }
 
-// stopCalls stops the call address, waits for its calls in flight up to the drain time, and leaves the membership.
+// stopCalls stops the call address, waits for its calls in flight until the node's stop time, and leaves the membership.
 func (s *Server) stopCalls(ctx context.Context) error {
-	bounded, cancel := s.withDrainTimeout(ctx)
+	bounded, cancel := s.untilStop(ctx)
 	defer cancel()
 
 	err := s.calls.Shutdown(bounded)
--- a/process/nodeserver/lifecycle_internal_test.go
+++ b/process/nodeserver/lifecycle_internal_test.go
@@ -17,14 +17,16 @@
 		name     string
 		settings int64
 		document map[string]int64
-		want     time.Duration
+		want     tiller.Millis
 	}{
-		{"no configuration yet", 9000, nil, 9 * time.Second},
-		{"shorter in the document", 90_000, map[string]int64{"drain_seconds": 20}, 20 * time.Second},
-		{"shorter in the settings", 9000, map[string]int64{"drain_seconds": 20}, 9 * time.Second},
+		{"no configuration yet", 9000, nil, 9 * tiller.Second},
+		{"shorter in the document", 90_000, map[string]int64{"drain_seconds": 20}, 20 * tiller.Second},
+		{"shorter in the settings", 9000, map[string]int64{"drain_seconds": 20}, 9 * tiller.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			s := &Server{settings: Settings{DrainMs: tc.settings}}
+			const now = tiller.Minute
+
+			s := &Server{settings: Settings{DrainMs: tc.settings, LeaveNoticeMs: 2000}, clock: tiller.ClockFunc(func() tiller.Millis { return now })}
 
 			if tc.document != nil {
 				d, faults := validator.Validate(tiller.DocumentSpec{Defaults: tc.document, Services: []tiller.ServiceSpec{{Name: "board"}}})
@@ -32,14 +34,37 @@
 				s.table.Store(forwarder.NewTable(tiller.NewVersion(1, 1, nil), d, tiller.NewLocation("kigali-1", "board", "w0"), nil))
 			}
 
-			begun := time.Now()
-			ctx, cancel := s.withDrainTimeout(context.Background())
+			require.Equal(t, now+2*tiller.Second+tc.want, s.beginStop())
+		})
+	}
+}
 
-			defer cancel()
+// TestPartsShareTheStopTime guards against a stop in which each part takes the whole drain time, so that the process is killed before it has
+// answered.
+func TestPartsShareTheStopTime(t *testing.T) {
+	now := tiller.Minute
+	s := &Server{settings: Settings{DrainMs: 3200, LeaveNoticeMs: 2300}, clock: tiller.ClockFunc(func() tiller.Millis { return now })}
+	s.beginStop()
 
-			deadline, ok := ctx.Deadline()
-			require.True(t, ok)
-			require.WithinRange(t, deadline, begun.Add(tc.want), time.Now().Add(tc.want))
-		})
+	left := func() time.Duration {
+		ctx, cancel := s.untilStop(context.Background())
+		defer cancel()
+
+		deadline, ok := ctx.Deadline()
+		require.True(t, ok)
+
+		return time.Until(deadline)
 	}
+
+	now += 2300
+
+	require.LessOrEqual(t, left(), 3200*time.Millisecond)
+
+	now += 3000
+
+	require.LessOrEqual(t, left(), 200*time.Millisecond)
+
+	now += 3000
+
+	require.LessOrEqual(t, left(), minStopTime.Duration(), "only idle connections remain")
 }
--- a/process/nodeserver/nodeserver.go
+++ b/process/nodeserver/nodeserver.go
@@ -72,6 +72,8 @@
 	drained bool
 	// recoveryLogged is set once the end of the recovery has been logged.
 	recoveryLogged bool
+	// stopAt is when the connections of callers and other nodes are closed, set once the node begins to stop.
+	stopAt tiller.Millis
 	// leaving is set earlier than drained, when the node starts to stop; from then on the node reports that it is not ready.
 	leaving atomic.Bool
 
