--- a/process/nodeserver/stop_internal_test.go
+++ b/process/nodeserver/stop_internal_test.go
@@ -139,6 +139,7 @@
 			require.NoError(t, err, "the connection ended without an answer; the worker began %d runs", f.runs.Load()-before)
 			text, err := io.ReadAll(resp.Body)
 			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
 			require.Equal(t, tc.status, resp.StatusCode, "%s", text)
 			require.True(t, resp.Close)
 
