Let servers leave in the soak, with late announcements and kills of nodes

The stand-in's servers announce their instance, start and sequence, and may depart: they report that they drain until that is acknowledged, serve on for 8 s, and one announcement from before arrives 1 to 4 s late; meanwhile no node, their own or all of them are killed. A run later than 2 s after the acknowledgement, at a node that was not disturbed for 3 s, is a violation. Departures are drawn from a stream of their own, so that the other faults of a seed stay the same.

--- a/fleet/standin/backend.go
+++ b/fleet/standin/backend.go
@@ -78,6 +78,10 @@
 	readyAt time.Time
 	stopped bool
 	up      bool
+	// startedAt and sequence identify the server's start and its latest announcement.
+	startedAt time.Time
+	sequence  uint64
+	departure *departure
 }
 
 // NewBackend returns a backend server that is not started yet.
@@ -116,7 +120,7 @@
 	defer b.mu.Unlock()
 
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: readTimeout}
-	b.readyAt = time.Now().Add(b.options.ColdStart)
+	b.begin()
 	b.up = true
 
 	go b.serve(b.server, l)
@@ -160,7 +164,7 @@
 	switch {
 	case b.options.AlwaysReady:
 		return "ready"
-	case !b.up:
+	case !b.up || b.departure != nil:
 		return ""
 	case b.draining.Load():
 		return "draining"
@@ -171,17 +175,39 @@
 	}
 }
 
-func (b *Backend) announce(ctx context.Context) {
-	state := b.state()
-	if state == "" {
-		return
-	}
+// begin begins a new start of the server. The lock is held.
+func (b *Backend) begin() {
+	b.startedAt = time.Now()
+	b.readyAt = b.startedAt.Add(b.options.ColdStart)
+	b.sequence = 0
+}
+
+// announcement returns the next announcement of the server's start.
+func (b *Backend) announcement(state string) registrar.Announcement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.sequence++
 
-	// Announcements are repeated, so a lost one does no harm.
-	_, _ = b.client.R().SetContext(ctx).SetBody(registrar.Announcement{
+	return registrar.Announcement{
 		Address: b.options.Address, Service: string(b.options.Service), Slots: b.options.Slots,
 		Connections: b.options.Connections, State: state,
-	}).Post("/announce")
+		Instance: string(b.options.Worker), StartedAtMs: b.startedAt.UnixMilli(), Sequence: b.sequence,
+	}
+}
+
+// post sends an announcement and reports whether it was acknowledged.
+func (b *Backend) post(ctx context.Context, a registrar.Announcement) bool {
+	r, err := b.client.R().SetContext(ctx).SetBody(a).Post("/announce")
+
+	return err == nil && r.IsSuccess()
+}
+
+func (b *Backend) announce(ctx context.Context) {
+	if state := b.state(); state != "" {
+		// Announcements are repeated, so a lost one does no harm.
+		b.post(ctx, b.announcement(state))
+	}
 }
 
 // ServeHTTP runs a request: it records it in the run log, waits for the service time and returns an answer that identifies the request.
@@ -208,6 +234,7 @@
 	}
 
 	b.options.RunLog.RecordRun(b.options.Worker, ids...)
+	b.recordLateRun()
 
 	if r.Header.Get(HeaderCrash) != "" || strings.Contains(string(body), HeaderCrash) {
 		b.crash()
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -254,3 +255,73 @@
 		return nil
 	}}
 }
+
+const (
+	// departureBound is the time after the acknowledgement of a departure after which the server must get no more requests.
+	departureBound = 2 * time.Second
+	// departureServes is how long a server serves on after its departure, and departureTouch how long its node must be undisturbed for the bound
+	// to hold.
+	departureServes = 8 * time.Second
+	departureTouch  = 3 * time.Second
+)
+
+// departures returns departures of servers, one after the other.
+func (f *fleet) departures(r *rand.Rand, length time.Duration) []fault {
+	var out []fault
+
+	for at := randomDuration(r, 0, time.Second); at < length; at += departureServes {
+		chosen := f.departureFault(r)
+		chosen.at = at
+		out = append(out, chosen)
+	}
+
+	return out
+}
+
+// departureFault lets a server leave. An announcement from before arrives late; meanwhile no node, its own or all of them are killed.
+func (f *fleet) departureFault(r *rand.Rand) fault {
+	i, late := r.IntN(len(f.nodes)), randomDuration(r, time.Second, 4*time.Second)
+	killed := [][]*process{nil, {f.nodes[i]}, f.nodes}[r.IntN(3)]
+	b, node := f.backends[i], f.nodes[i]
+
+	return fault{name: fmt.Sprintf("departure of the server of %s, %d nodes killed", node.name, len(killed)), inject: func() error {
+		ctx := context.Background()
+		acknowledged := b.Depart(ctx, departureBound)
+
+		// The server repeats its report until it is acknowledged.
+		for end := time.Now().Add(departureServes); !acknowledged && time.Now().Before(end); acknowledged = b.Depart(ctx, departureBound) {
+			time.Sleep(pollPause)
+		}
+
+		if !acknowledged {
+			return nil
+		}
+
+		f.departed.Add(1)
+
+		left := time.Now()
+
+		for _, p := range killed {
+			p.kill()
+		}
+
+		var errs []error
+		for _, p := range killed {
+			errs = append(errs, p.start())
+		}
+
+		time.Sleep(time.Until(left.Add(late)))
+		b.AnnounceLate(ctx)
+		time.Sleep(time.Until(left.Add(departureServes)))
+
+		acknowledgedAt, lateRuns := b.Return()
+
+		for _, at := range lateRuns {
+			if !node.disturbedBefore(at, departureTouch) {
+				f.tally.AddViolation("the server of %s got a request %s after its departure was acknowledged", node.name, at.Sub(acknowledgedAt))
+			}
+		}
+
+		return errors.Join(errs...)
+	}}
+}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -45,6 +46,8 @@
 	tally       *standin.Tally
 	client      *editor.Client
 	wait        sync.WaitGroup
+	// departed counts the departures of servers that were acknowledged.
+	departed atomic.Int64
 }
 
 // build compiles the programs of controllers and nodes into a folder.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,8 @@
 	err     error
 	// starts counts the starts. Checks use it to avoid comparing the state of one start with that of the next.
 	starts int
+	// disturbances are the times of signals and starts.
+	disturbances []time.Time
 	// killed is set once SIGKILL has been sent since the last start.
 	killed bool
 }
@@ -83,6 +86,7 @@
 	p.command, p.ended = command, ended
 	p.killed = false
 	p.starts++
+	p.disturbances = append(p.disturbances, time.Now())
 
 	go func() {
 		err := errors.Join(command.Wait(), log.Close())
@@ -110,6 +114,7 @@
 	}
 
 	p.killed = p.killed || s == syscall.SIGKILL
+	p.disturbances = append(p.disturbances, time.Now())
 
 	// The process may have exited in the meantime.
 	_ = p.command.Process.Signal(s)
@@ -117,6 +122,14 @@
 	return p.ended
 }
 
+// disturbedBefore reports whether a signal or a start disturbed the process within a span before a time.
+func (p *process) disturbedBefore(at time.Time, span time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return slices.ContainsFunc(p.disturbances, func(d time.Time) bool { return !d.After(at) && at.Sub(d) < span })
+}
+
 func (p *process) kill() { <-p.signal(syscall.SIGKILL) }
 
 // terminate stops the process gracefully. It returns an error if the process fails or takes longer than the bound, after which it is killed.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,6 +50,9 @@
 	}
 }
 
+// departureStream is the stream of random numbers for departures.
+const departureStream = 36
+
 // soak injects the faults of one seed and checks that callers, backend servers and operators saw no violation of a guarantee.
 func soak(t *testing.T, programs string, seed uint64) {
 	folder := t.TempDir()
@@ -84,7 +87,8 @@
 	require.Eventually(t, func() bool { _, answered := f.tally.Keys(); return answered > 0 }, startBound, pollPause,
 		"no keyed request was answered before the first fault")
 
-	plan := f.schedule(rand.New(rand.NewPCG(seed, seed)), *length)
+	// Departures are drawn apart, so that the other faults of a seed stay the same.
+	plan := append(f.schedule(rand.New(rand.NewPCG(seed, seed)), *length), f.departures(rand.New(rand.NewPCG(seed, departureStream)), *length)...)
 	t.Logf("faults: %v", plan)
 	injectFaults(t, plan)
 	waitUntilServing(t, f)
@@ -92,8 +96,8 @@
 	o.waitForConvergence(ctx)
 
 	sent, answered := f.tally.Keys()
-	t.Logf("accepted %d edits, outcome of %d unknown; served %v, refused %v; keyed %d, answered %d",
-		o.accepted, o.unknown, f.tally.Served(), f.tally.Refused(), sent, answered)
+	t.Logf("accepted %d edits, outcome of %d unknown; served %v, refused %v; keyed %d, answered %d; %d servers left",
+		o.accepted, o.unknown, f.tally.Served(), f.tally.Refused(), sent, answered, f.departed.Load())
 	require.Positive(t, o.accepted)
 	require.Positive(t, answered)
 	require.Empty(t, f.tally.Check())
