Refuse attempts of other nodes that may outlast a planned stop

What callers saw: nothing was reported. An attempt of another node that arrived between the SIGTERM and the end of the notice was cut after the drain time if its worker still worked on it, which its sender reports as may have run.

Cause: the same class as the late requests of callers: work is begun although the process cannot see it to its end.

Change: from the SIGTERM on, the inbound proxy refuses as not run what may last until the connections are closed. The sender tries another worker. Where timeouts are shorter than the drain time, nothing is refused before the end of the notice.

Evidence: TestStoppingNodeRefusesAttemptsThatMayOutlastIt failed in two of three cases without the check (200 instead of 503), and passes.

--- a/calls/forwarder/forwarder.go
+++ b/calls/forwarder/forwarder.go
@@ -125,7 +125,7 @@
 type Forwarder struct {
 	Options
 	draining atomic.Bool
-	// stopAt is when the connections of callers are closed, as tiller.Millis by Options.Clock; it counts once draining is set.
+	// stopAt is when the connections will be closed, as tiller.Millis by Options.Clock; zero unless the node stops.
 	stopAt     atomic.Int64
 	lastShedAt atomic.Int64
 	latency    metrics.Timer
@@ -162,23 +162,30 @@
 	}
 }
 
-// Drain makes the inbound proxy refuse new attempts as not run, and the outbound proxy those calls that may still be unanswered when the
-// connections of callers are closed, at stopAt by Options.Clock.
-func (f *Forwarder) Drain(stopAt tiller.Millis) {
-	f.stopAt.Store(int64(stopAt))
-	f.draining.Store(true)
+// BeginStop sets when the connections of callers and other nodes will be closed, by Options.Clock. The inbound proxy refuses attempts that may last
+// longer, which other workers can run as well.
+func (f *Forwarder) BeginStop(at tiller.Millis) { f.stopAt.Store(int64(at)) }
+
+// Drain makes the inbound proxy refuse all new attempts as not run, and the outbound proxy those calls that may last until the node has stopped.
+func (f *Forwarder) Drain() { f.draining.Store(true) }
+
+// outlastsStop reports whether a request may still be unanswered when the connections are closed.
+func (f *Forwarder) outlastsStop(q *request) bool {
+	at := tiller.Millis(f.stopAt.Load())
+
+	return at > 0 && q.deadline+stopMargin > at
 }
 
-// checkStop refuses an attempt that may last until the node has stopped.
+// checkStop refuses an attempt of a call that may last until the node has stopped.
 func (f *Forwarder) checkStop(q *request) *tiller.CallError {
-	if !f.draining.Load() || int64(q.deadline+stopMargin) <= f.stopAt.Load() {
+	if !f.draining.Load() || !f.outlastsStop(q) {
 		return nil
 	}
 
 	return notRun(tiller.ReasonDraining, "the node stops before the call's time is over").WithUntried()
 }
 
-// stopMargin is the time for returning an answer before the connections of callers are closed.
+// stopMargin is the time for returning an answer before the connections are closed.
 const stopMargin tiller.Millis = 100
 
 // ServeHTTP serves a call of a caller, or an attempt that another node sent to this worker.
--- a/calls/forwarder/forwarder_test.go
+++ b/calls/forwarder/forwarder_test.go
@@ -219,7 +219,7 @@
 func TestDrainingWorkerRefusesAndAnotherServes(t *testing.T) {
 	nodes := newNodes(t, ok, ok, ok)
 	nodes[1].state = wire.BackendState_BACKEND_STATE_DRAINING
-	nodes[2].forward.Drain(nodes[2].forward.Clock.Now() + tiller.Minute)
+	nodes[2].forward.Drain()
 
 	for range 20 {
 		require.Equal(t, 200, send(t, nodes[0], "PUT", "/calls/1", "", "").status)
--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -30,6 +30,9 @@
 	defer cancel()
 
 	err = f.checkLink(q)
+	if err == nil && f.outlastsStop(q) {
+		err = notRun(tiller.ReasonDraining, "the worker's node stops before the time of the attempt is over")
+	}
 
 	var answer *Answer
 	if err == nil {
--- a/calls/forwarder/leaving_test.go
+++ b/calls/forwarder/leaving_test.go
@@ -11,6 +11,7 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/exchanger"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/limiter"
 	"gitlab.com/sycamoretiller/sycamoretiller/fleet/standin"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
 // TestRequestThatWaitedIsNotSentToALeavingServer guards against a request that is admitted, waits, and reaches a server that has left meanwhile.
@@ -75,3 +76,33 @@
 		})
 	}
 }
+
+// TestStoppingNodeRefusesAttemptsThatMayOutlastIt guards against requests of other nodes that are cut off when the node beside their worker stops.
+func TestStoppingNodeRefusesAttemptsThatMayOutlastIt(t *testing.T) {
+	nodes := newNodes(t, ok, ok)
+	nodes[0].state = wire.BackendState_BACKEND_STATE_NONE
+
+	// The timeout of both routes is 5 s.
+	for _, tc := range []struct {
+		name, method string
+		left         tiller.Millis
+		status       int
+	}{
+		{"idempotent", http.MethodGet, 2 * tiller.Second, http.StatusServiceUnavailable},
+		{"one that may run once", http.MethodPut, 2 * tiller.Second, http.StatusServiceUnavailable},
+		{"one that ends before the stop", http.MethodPut, tiller.Minute, http.StatusOK},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			nodes[1].forward.BeginStop(nodes[1].forward.Clock.Now() + tc.left)
+
+			before := runs(nodes)
+			a := send(t, nodes[0], tc.method, "/calls/1", "", "")
+			require.Equal(t, tc.status, a.status)
+
+			if tc.status != http.StatusOK {
+				require.Equal(t, "not_run", a.verdict)
+				require.Equal(t, before, runs(nodes))
+			}
+		})
+	}
+}
--- a/process/nodeserver/lifecycle.go
+++ b/process/nodeserver/lifecycle.go
@@ -113,7 +113,7 @@
 	}
 
 	notice := time.Duration(s.settings.LeaveNoticeMs) * time.Millisecond
-	stopAt := s.beginStop()
+	s.forwarder.BeginStop(s.beginStop())
 
 	pause(ctx, notice-peerNoticePeriod)
 
@@ -124,11 +124,11 @@
 	s.tick()
 
 	if notice == 0 {
-		s.forwarder.Drain(stopAt)
+		s.forwarder.Drain()
 	}
 
 	pause(ctx, peerNoticePeriod)
-	s.forwarder.Drain(stopAt)
+	s.forwarder.Drain()
 
 	return nil
 }
