Serve requests that a stopping node admitted before the end of its notice

What callers saw: at the end of a node's notice, requests that waited for a slot, a claim or a connection at its worker were refused as not run, although there was time to serve them.

Cause: asks again, after these waits, whether the server accepts requests, and the question included whether the node drains.

Change: whether the node drains is asked at the admission only.

--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -141,6 +141,10 @@
 // admit waits for a slot and runs the request on this worker's backend server, or refuses it. The slot is held until the answer
 // has been read, or passed on if it is too large to buffer.
 func (f *Forwarder) admit(ctx context.Context, q *request) (*Answer, *tiller.CallError) {
+	if f.draining.Load() {
+		return nil, workerLeaves()
+	}
+
 	if _, err := f.readyTarget(); err != nil {
 		return nil, err
 	}
@@ -214,8 +218,8 @@
 	target := f.BackendServer.Target()
 
 	switch {
-	case f.draining.Load() || target.state == wire.BackendState_BACKEND_STATE_DRAINING:
-		return Target{}, notRun(tiller.ReasonDraining, "the worker is leaving")
+	case target.state == wire.BackendState_BACKEND_STATE_DRAINING:
+		return Target{}, workerLeaves()
 	case target.state != wire.BackendState_BACKEND_STATE_READY:
 		return Target{}, notRun(tiller.ReasonNoBackend, "the worker's backend server is not ready")
 	default:
@@ -223,6 +227,8 @@
 	}
 }
 
+func workerLeaves() *tiller.CallError { return notRun(tiller.ReasonDraining, "the worker is leaving") }
+
 // checkQuarantine refuses a request that has reached the limit of strikes according to this node or the sender.
 func (f *Forwarder) checkQuarantine(q *request, settings compiler.Effective) *tiller.CallError {
 	now, d := f.Clock.Now(), q.digest
--- a/calls/forwarder/leaving_test.go
+++ b/calls/forwarder/leaving_test.go
@@ -16,11 +16,6 @@
 
 // TestRequestThatWaitedIsNotSentToALeavingServer guards against a request that is admitted, waits, and reaches a server that has left meanwhile.
 func TestRequestThatWaitedIsNotSentToALeavingServer(t *testing.T) {
-	const (
-		maxWait = 10 * time.Second
-		poll    = time.Millisecond
-	)
-
 	leave := func(n *fakeNode) { n.leaving.Store(true) }
 
 	cases := []struct {
@@ -59,12 +54,7 @@
 			go func() { answers <- send(t, n, http.MethodPost, "/auditions", standin.NewKey(centre), "body") }()
 
 			if leaves != nil {
-				require.Eventually(t, func() bool {
-					waiting := 0
-					n.forward.Limiter.WithCore(func(c *limiter.Core) { waiting = c.Waiting() })
-
-					return waiting > 0
-				}, maxWait, poll)
+				awaitWaiting(t, n)
 				leaves()
 			}
 
@@ -106,3 +96,31 @@
 		})
 	}
 }
+
+// TestWaitingRequestIsServedWhileItsNodeStops guards against the refusal of requests that were admitted before the end of a node's notice.
+func TestWaitingRequestIsServedWhileItsNodeStops(t *testing.T) {
+	n := newNodes(t, ok)[0]
+	release := occupy(t, n)
+	answers := make(chan answer, 1)
+
+	go func() { answers <- send(t, n, http.MethodPut, "/calls/1", "", "") }()
+
+	awaitWaiting(t, n)
+	n.forward.BeginStop(n.forward.Clock.Now() + tiller.Minute)
+	n.forward.Drain()
+	release()
+
+	require.Equal(t, http.StatusOK, (<-answers).status)
+}
+
+// awaitWaiting waits until a request waits for a slot of a node's server.
+func awaitWaiting(t *testing.T, n *fakeNode) {
+	t.Helper()
+
+	require.Eventually(t, func() bool {
+		waiting := 0
+		n.forward.Limiter.WithCore(func(c *limiter.Core) { waiting = c.Waiting() })
+
+		return waiting > 0
+	}, 10*time.Second, time.Millisecond)
+}
