Let a part of a test fleet be stopped twice

A test that fails after it has stopped a node hung in its clean-up until the time limit of the package, since only the first stop received the part's result.

--- a/fleet/assembler/assembler.go
+++ b/fleet/assembler/assembler.go
@@ -62,22 +62,29 @@
 // process is a part of the fleet that runs in goroutines of its own.
 type process struct {
 	cancel context.CancelFunc
-	done   chan error
+	// done is closed once the part has ended with err.
+	done chan struct{}
+	err  error
 }
 
 func start(ctx context.Context, run func(context.Context) error) *process {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &process{cancel: cancel, done: make(chan error, 1)}
+	p := &process{cancel: cancel, done: make(chan struct{})}
 
-	go func() { p.done <- run(ctx) }()
+	go func() {
+		defer close(p.done)
+
+		p.err = run(ctx)
+	}()
 
 	return p
 }
 
 func (p *process) stop() error {
 	p.cancel()
+	<-p.done
 
-	return <-p.done
+	return p.err
 }
 
 // Node is a running node.
