Read the backend server's state once before a request is sent

The check before the first byte and the record of requests to leaving servers each took the node's lock and derived the state. The second now uses what the first has read. Tests of calls/forwarder pass; nothing else changes.

--- a/calls/forwarder/inbound.go
+++ b/calls/forwarder/inbound.go
@@ -356,11 +356,12 @@
 		Identifies: func(h http.Header) bool { return f.Dialect.Identifies(h, terms) },
 		// The claim and the connection may have taken long.
 		BeforeSend: func() error {
-			if _, unavailable = f.readyTarget(); unavailable != nil {
+			var latest Target
+			if latest, unavailable = f.readyTarget(); unavailable != nil {
 				return unavailable
 			}
 
-			f.recordLeaving(q)
+			f.recordLeaving(q, latest)
 
 			return nil
 		},
@@ -391,8 +392,8 @@
 }
 
 // recordLeaving records a request that is sent to a server which is leaving.
-func (f *Forwarder) recordLeaving(q *request) {
-	if span, leaving := f.BackendServer.Target().leavingFor.Get(); leaving {
+func (f *Forwarder) recordLeaving(q *request, target Target) {
+	if span, leaving := target.leavingFor.Get(); leaving {
 		f.stages.leaving.Update(span.Duration())
 		f.log.sentToLeavingServer(q, span)
 	}
