Share the handling of a node's withdrawals between controllers and the test fleet

The test fleet had its own copy of what a controller does with a request of a node: list, add, reply, make durable. Both call archiver.Sync and archiver.Load now, and the test fleet no longer confirms a request that the store does not hold whole. The bound on the withdrawals of a node stood twice; the store uses that of the entry, below which it could never confirm. Withdrawal tests of archiver, controlserver and fleettest pass.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -137,9 +137,7 @@
 	require.NoError(f.t, err)
 
 	c.withdrawals = archiver.New()
-	for _, r := range c.withdrawalDisk {
-		c.withdrawals.Add(f.now, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
-	}
+	c.withdrawals.Load(f.now, c.withdrawalDisk)
 
 	c.up = true
 }
@@ -273,29 +271,6 @@
 	}
 }
 
-func (f *fleet) deliverToController(c *testController, e *wire.Envelope) {
-	r := e.GetWithdrawalSync()
-	if r == nil {
-		f.stepController(c, controller.Receive{Envelope: e})
-
-		return
-	}
-
-	if !c.up {
-		return
-	}
-
-	c.withdrawalSyncs++
-	known := c.withdrawals.List(f.now, r.GetNode())
-	if added, _ := c.withdrawals.Add(f.now, r.GetNode(), detector.FromWire(r.GetWithdrawals())); added {
-		c.withdrawalDisk = append(c.withdrawalDisk, &wire.WithdrawalRecord{Node: r.GetNode(), Withdrawals: r.GetWithdrawals()})
-	}
-
-	f.net.Send(f.now, &wire.Envelope{From: c.address, To: e.GetFrom(), Body: &wire.Envelope_WithdrawalSyncReply{
-		WithdrawalSyncReply: &wire.WithdrawalSyncReply{Nonce: r.GetNonce(), Withdrawals: detector.ToWire(known), Controllers: c.core.Voters()},
-	}})
-}
-
 // until runs the fleet until a condition holds and returns how long it took. It fails the test if that takes longer than the bound.
 func (f *fleet) until(bound tiller.Millis, what string, ok func() bool) tiller.Millis {
 	f.t.Helper()
--- a/internal/fleettest/withdrawal_test.go
+++ b/internal/fleettest/withdrawal_test.go
@@ -12,6 +12,7 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/internal/faultnet"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/node"
+	"gitlab.com/sycamoretiller/sycamoretiller/source/controller"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
@@ -23,6 +24,30 @@
 	restartDelay = tiller.Second / 2
 )
 
+func (f *fleet) deliverToController(c *testController, e *wire.Envelope) {
+	r := e.GetWithdrawalSync()
+	if r == nil {
+		f.stepController(c, controller.Receive{Envelope: e})
+
+		return
+	}
+
+	if !c.up {
+		return
+	}
+
+	c.withdrawalSyncs++
+
+	result := c.withdrawals.Sync(f.now, r, c.core.Voters())
+	if result.Record != nil {
+		c.withdrawalDisk = append(c.withdrawalDisk, result.Record)
+	}
+
+	if result.Complete {
+		f.net.Send(f.now, &wire.Envelope{From: c.address, To: e.GetFrom(), Body: &wire.Envelope_WithdrawalSyncReply{WithdrawalSyncReply: result.Reply}})
+	}
+}
+
 // withdraw lets a node report that a start of its backend server leaves, and waits until the node may acknowledge it.
 func (f *fleet) withdraw(n *testNode, w detector.Withdrawal) bool {
 	f.t.Helper()
--- a/membership/detector/entry.go
+++ b/membership/detector/entry.go
@@ -47,7 +47,7 @@
 		return eris.Errorf("liveness %d, state %d", e.GetLiveness(), e.GetState())
 	case e.GetSlots() > maxSlots || e.GetConnections() > maxConnections:
 		return eris.Errorf("%d slots, %d connections", e.GetSlots(), e.GetConnections())
-	case len(e.GetWithdrawals()) > 2*maxWithdrawals:
+	case len(e.GetWithdrawals()) > 2*MaxWithdrawals:
 		return eris.Errorf("%d withdrawals", len(e.GetWithdrawals()))
 	}
 
--- a/membership/detector/withdrawal.go
+++ b/membership/detector/withdrawal.go
@@ -16,10 +16,11 @@
 	// RecoveryTimeout is how long a node that has started waits for a peer that may remember its previous process.
 	RecoveryTimeout tiller.Millis = 500
 
+	// MaxWithdrawals bounds the withdrawals in an entry.
+	MaxWithdrawals = 8
+
 	// recoveryPeriod is how often such a node asks another seed.
 	recoveryPeriod tiller.Millis = 100
-	// maxWithdrawals bounds the withdrawals in an entry.
-	maxWithdrawals = 8
 )
 
 // Withdrawal identifies a start of a backend server that is leaving. Its announcements are void up to a sequence.
@@ -57,7 +58,7 @@
 }
 
 // latest returns the last withdrawals that an entry has room for.
-func latest(ws []Withdrawal) []Withdrawal { return ws[max(0, len(ws)-maxWithdrawals):] }
+func latest(ws []Withdrawal) []Withdrawal { return ws[max(0, len(ws)-MaxWithdrawals):] }
 
 // Withdrawals returns the withdrawals in the node's own entry.
 func (c *Core) Withdrawals() []Withdrawal { return FromWire(c.self.GetWithdrawals()) }
@@ -95,7 +96,7 @@
 // carryOver returns the withdrawals of a node's previous process that the node's new entry lacks. They are kept beside the entry until the
 // node has taken them back.
 func carryOver(old *record, e *wire.NodeEntry) []Withdrawal {
-	if old == nil || len(e.GetWithdrawals()) >= maxWithdrawals {
+	if old == nil || len(e.GetWithdrawals()) >= MaxWithdrawals {
 		return nil
 	}
 
--- a/process/controlserver/withdrawals.go
+++ b/process/controlserver/withdrawals.go
@@ -8,7 +8,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
-	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/process/runner"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/archiver"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/journaler"
@@ -54,9 +53,7 @@
 		synced: metrics.GetOrRegisterTimer("withdrawals.sync", registry), stale: err != nil,
 	}
 
-	for _, r := range records {
-		k.core.Add(clock.Now(), r.GetNode(), detector.FromWire(r.GetWithdrawals()))
-	}
+	k.core.Load(clock.Now(), records)
 
 	if err != nil {
 		log.Error(err, "withdrawals cannot be stored now")
@@ -113,23 +110,20 @@
 
 	for _, e := range batch {
 		r := e.GetWithdrawalSync()
-		reply := &wire.WithdrawalSyncReply{
-			Nonce: r.GetNonce(), Controllers: voters, Withdrawals: detector.ToWire(k.core.List(k.clock.Now(), r.GetNode())),
-		}
-		added, complete := k.core.Add(k.clock.Now(), r.GetNode(), detector.FromWire(r.GetWithdrawals()))
+		result := k.core.Sync(k.clock.Now(), r, voters)
 
-		if added {
-			records = append(records, &wire.WithdrawalRecord{Node: r.GetNode(), Withdrawals: r.GetWithdrawals()})
+		if result.Record != nil {
+			records = append(records, result.Record)
 		}
 
 		answer := wire.ReplyOverStream(e, []*wire.Envelope{{
-			From: e.GetTo(), To: e.GetFrom(), Body: &wire.Envelope_WithdrawalSyncReply{WithdrawalSyncReply: reply},
+			From: e.GetTo(), To: e.GetFrom(), Body: &wire.Envelope_WithdrawalSyncReply{WithdrawalSyncReply: result.Reply},
 		}})
 
 		switch {
 		case len(r.GetWithdrawals()) == 0:
 			recalls = append(recalls, answer...)
-		case complete:
+		case result.Complete:
 			replies = append(replies, answer...)
 		}
 	}
--- a/source/archiver/archiver.go
+++ b/source/archiver/archiver.go
@@ -12,8 +12,6 @@
 const (
 	// Lifetime is how long a withdrawal is kept after it was stored or loaded. Nodes remember withdrawals for a minute.
 	Lifetime = 2 * tiller.Minute
-	// MaxPerNode bounds the withdrawals of a node; the latest are kept.
-	MaxPerNode = 8
 	// MaxNodes bounds the nodes with withdrawals.
 	MaxNodes = 10_000
 
@@ -38,6 +36,39 @@
 // New returns an empty store.
 func New() *Core { return &Core{nodes: map[string][]withdrawal{}} }
 
+// Result is what follows from a request of a node.
+type Result struct {
+	// Reply may be sent once all records up to this one are durable.
+	Reply *wire.WithdrawalSyncReply
+	// Record is to be made durable, nil if the request adds nothing.
+	Record *wire.WithdrawalRecord
+	// Complete is set if the store holds all withdrawals in the request. If not, it must not be confirmed.
+	Complete bool
+}
+
+// Sync adds the withdrawals in a request. The reply lists those that were stored before, and the voting controllers.
+func (c *Core) Sync(reading tiller.Millis, r *wire.WithdrawalSync, voters []string) Result {
+	result := Result{Reply: &wire.WithdrawalSyncReply{
+		Nonce: r.GetNonce(), Controllers: voters, Withdrawals: detector.ToWire(c.List(reading, r.GetNode())),
+	}}
+
+	var added bool
+
+	added, result.Complete = c.Add(reading, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
+	if added {
+		result.Record = &wire.WithdrawalRecord{Node: r.GetNode(), Withdrawals: r.GetWithdrawals()}
+	}
+
+	return result
+}
+
+// Load adds withdrawals that are durable.
+func (c *Core) Load(reading tiller.Millis, records []*wire.WithdrawalRecord) {
+	for _, r := range records {
+		c.Add(reading, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
+	}
+}
+
 // List returns the withdrawals of a node, oldest first.
 func (c *Core) List(reading tiller.Millis, node string) []detector.Withdrawal {
 	c.advance(reading)
@@ -68,7 +99,7 @@
 
 		added = true
 		c.nodes[node] = append(c.nodes[node], withdrawal{Withdrawal: w, expiresAt: c.now + Lifetime})
-		c.nodes[node] = c.nodes[node][max(0, len(c.nodes[node])-MaxPerNode):]
+		c.nodes[node] = c.nodes[node][max(0, len(c.nodes[node])-detector.MaxWithdrawals):]
 	}
 
 	return added, !slices.ContainsFunc(withdrawals, func(w detector.Withdrawal) bool { return !c.has(node, w) })
--- a/source/archiver/archiver_test.go
+++ b/source/archiver/archiver_test.go
@@ -39,12 +39,12 @@
 func TestStoreIsBounded(t *testing.T) {
 	c := archiver.New()
 
-	for i := range 3 * archiver.MaxPerNode {
+	for i := range 3 * detector.MaxWithdrawals {
 		c.Add(0, "n1", []detector.Withdrawal{withdrawal(fmt.Sprintf("i-%d", i))})
 	}
 
-	require.Len(t, c.List(0, "n1"), archiver.MaxPerNode)
-	require.Equal(t, "i-23", c.List(0, "n1")[archiver.MaxPerNode-1].Instance, "the latest are kept")
+	require.Len(t, c.List(0, "n1"), detector.MaxWithdrawals)
+	require.Equal(t, "i-23", c.List(0, "n1")[detector.MaxWithdrawals-1].Instance, "the latest are kept")
 
 	for i := range archiver.MaxNodes {
 		c.Add(0, fmt.Sprintf("m%d", i), []detector.Withdrawal{withdrawal("i")})
