Use a server that starts again with an earlier clock after ten seconds

Callers would have seen: a backend server that left and started again under its id, on a VM whose clock was set back between, got no request for a minute, or two where its controllers or peers had to remind the node.

Cause: a withdrawal makes the start that left void, and all starts that seem earlier, since their announcements may arrive late. By its time alone a new start with an earlier clock cannot be told from an old one.

Change: such a start counts as running once it has announced itself for 10 s with growing sequences and no gap as long as the lease. The withdrawal is then limited to its own start, and a later withdrawal of the new start is remembered beside it. Only where this process of the node has accepted announcements of the start that left: the time of a withdrawal that was restored, or that the node filled in for a server it did not know, may lie after the start of a server that still announces itself while it leaves.

10 s: the platform says that announcements arrive late by seconds; those of one start, sent before another start of it left, cannot arrive over a longer span than their delay. Ruled out: a shorter memory of withdrawals, which would hold for every late announcement too; asking the server's health, which names its id and not its start.

Test: TestServerStartsAgainWithAnEarlierClock.

--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -35,6 +35,9 @@
 	maxWithdrawals = 32
 	// withdrawalLifetime is how long a withdrawal is remembered; late announcements are delayed by seconds.
 	withdrawalLifetime = tiller.Minute
+	// minAnnouncingSpan is how long a start that seems earlier than one that left must announce itself, without a gap as long as the lease, until
+	// it counts as a server that runs now.
+	minAnnouncingSpan = 10 * tiller.Second
 )
 
 // Announcement is what a backend server reports of itself.
@@ -112,6 +115,8 @@
 	ignored int
 	// withdrawals are the starts that are leaving, the latest last.
 	withdrawals []withdrawal
+	// candidate is the latest start whose announcements are void.
+	candidate candidate
 }
 
 // withdrawal is a withdrawal with this node's own bookkeeping of it.
@@ -121,6 +126,10 @@
 	expiresAt tiller.Millis
 	// restored is set if a peer remembered the withdrawal from this node's previous process.
 	restored bool
+	// announced is set if this process has accepted an announcement of the start.
+	announced bool
+	// single is set if the withdrawal makes no earlier starts void, since one of them is known to run.
+	single bool
 }
 
 // New returns a core for the service in the node's settings.
@@ -161,6 +170,7 @@
 	c.rememberLeaving(now, a)
 
 	c.current = a
+	c.candidate = candidate{}
 	c.lowSequence = 0
 	c.announcedAt = now
 	c.leaseExpiresAt = now + c.lease
@@ -188,7 +198,7 @@
 // superseded reports whether an announcement is older than what is known. The clock of a VM may be set back between two starts, so
 // an earlier start is older only while the lease of the known server lasts.
 func (c *Core) superseded(now tiller.Millis, a Announcement) bool {
-	if c.withdrawn(now, a) {
+	if c.withdrawn(now, a) && !c.startedAgain(now, a) {
 		return true
 	}
 
@@ -221,7 +231,10 @@
 		startedAtMs = c.current.StartedAtMs
 	}
 
-	c.remember(now, detector.Withdrawal{Instance: instance, StartedAtMs: startedAtMs, Sequence: detector.AllSequences}, false)
+	c.remember(now, withdrawal{
+		Withdrawal: detector.Withdrawal{Instance: instance, StartedAtMs: startedAtMs, Sequence: detector.AllSequences},
+		announced:  known && startedAtMs == c.current.StartedAtMs,
+	})
 
 	if known && startedAtMs >= c.current.StartedAtMs {
 		c.setState(now, wire.BackendState_BACKEND_STATE_DRAINING, false)
--- a/membership/registrar/registrar_test.go
+++ b/membership/registrar/registrar_test.go
@@ -251,6 +251,95 @@
 	require.True(t, c.Accepts(60_011), "the server started again after its VM's clock was set back")
 }
 
+// TestServerStartsAgainWithAnEarlierClock guards against a server that is not used since its start seems earlier than one that left, and against
+// late announcements that seem to be of such a server.
+func TestServerStartsAgainWithAnEarlierClock(t *testing.T) {
+	const (
+		withdrawnAt = tiller.Second
+		heartbeat   = tiller.Second
+		earlier     = int64(90)
+	)
+
+	announce := func(c *registrar.Core, from, until tiller.Millis, start int64, state string) {
+		for at := from; at < until; at += heartbeat {
+			c.Announce(at, announcement("a", start, uint64(at/heartbeat), state))
+		}
+	}
+	withdraw := func(c *registrar.Core) {
+		c.Announce(0, announcement("a", 100, 1, "ready"))
+		c.Withdraw(withdrawnAt, "a", 100)
+	}
+
+	cases := []struct {
+		name  string
+		leave func(c *registrar.Core)
+		run   func(c *registrar.Core)
+		used  bool
+	}{
+		{"runs on", withdraw, func(c *registrar.Core) { announce(c, 2000, 20_000, earlier, "ready") }, true},
+		{"runs on after a start that drained", func(c *registrar.Core) {
+			c.Announce(0, announcement("a", 100, 1, "draining"))
+		}, func(c *registrar.Core) { announce(c, 2000, 20_000, earlier, "ready") }, true},
+		{"a late announcement of the start that left", withdraw, func(c *registrar.Core) {
+			announce(c, 2000, 20_000, earlier, "ready")
+			c.Announce(19_500, announcement("a", 100, 9, "draining"))
+		}, true},
+		{"leaves too", withdraw, func(c *registrar.Core) {
+			announce(c, 2000, 20_000, earlier, "ready")
+			c.Withdraw(19_500, "a", earlier)
+			c.Announce(19_600, announcement("a", earlier, 99, "ready"))
+			c.Announce(19_700, announcement("a", 100, 99, "ready"))
+		}, false},
+		{"announcements that are late by seconds", withdraw, func(c *registrar.Core) {
+			announce(c, 2000, 10_000, earlier, "ready")
+		}, false},
+		{"two late ones with a gap", withdraw, func(c *registrar.Core) {
+			announce(c, 2000, 3000, earlier, "ready")
+			announce(c, 19_000, 20_000, earlier, "ready")
+		}, false},
+		{"copies", withdraw, func(c *registrar.Core) {
+			for at := tiller.Millis(2000); at < 20_000; at += heartbeat {
+				c.Announce(at, announcement("a", earlier, 7, "ready"))
+			}
+		}, false},
+		{"the start that left announces itself between", func(c *registrar.Core) {
+			c.Announce(0, announcement("a", 100, 1, "draining"))
+		}, func(c *registrar.Core) {
+			for at := tiller.Millis(2000); at < 20_000; at += heartbeat {
+				c.Announce(at, announcement("a", earlier, uint64(at), "ready"))
+				c.Announce(at+100, announcement("a", 100, uint64(at), "draining"))
+			}
+		}, false},
+		{"the start that left is not known for certain", func(c *registrar.Core) {
+			c.Withdraw(withdrawnAt, "a", 100)
+		}, func(c *registrar.Core) { announce(c, 2000, 20_000, earlier, "ready") }, false},
+		{"the withdrawal was restored", func(c *registrar.Core) {
+			c.Restore(withdrawnAt, []detector.Withdrawal{{Instance: "a", StartedAtMs: 100, Sequence: detector.AllSequences}})
+		}, func(c *registrar.Core) { announce(c, 2000, 20_000, earlier, "ready") }, false},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := registrar.New("board")
+			tc.leave(c)
+			tc.run(c)
+			require.Equal(t, tc.used, c.Accepts(20_000))
+		})
+	}
+
+	t.Run("other nodes remember both starts that left", func(t *testing.T) {
+		c := registrar.New("board")
+		withdraw(c)
+		announce(c, 2000, 20_000, earlier, "ready")
+		c.Withdraw(20_000, "a", earlier)
+		require.ElementsMatch(t, []detector.Withdrawal{
+			{Instance: "a", StartedAtMs: 100, Sequence: detector.AllSequences},
+			{Instance: "a", StartedAtMs: earlier, Sequence: detector.AllSequences},
+		}, c.Backend(20_000).Withdrawals)
+		require.Len(t, c.Backend(70_000).Withdrawals, 1, "the second one is remembered for as long as any other")
+	})
+}
+
 // TestSequenceOfAnotherWriter guards against one announcement with a sequence far ahead, after which the server's own would be ignored until it
 // starts again.
 func TestSequenceOfAnotherWriter(t *testing.T) {
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -210,7 +210,7 @@
 // the server leaves and that may be forgotten when this node restarts.
 func (s *Server) Announce(ctx context.Context, a registrar.Announcement) ([]string, error) {
 	s.mu.Lock()
-	ignored := s.registrar.Ignored()
+	ignored, previous := s.registrar.Ignored(), s.registrar.Latest()
 	faults := s.registrar.Announce(s.clock.Now(), a)
 	ignored = s.registrar.Ignored() - ignored
 	s.mu.Unlock()
@@ -219,8 +219,12 @@
 		return faults, nil
 	}
 
-	if ignored > 0 {
+	switch {
+	case ignored > 0:
 		s.options.Log.Info("announcement ignored", "instance", a.Instance, "born", a.StartedAtMs, "sequence", a.Sequence, "state", a.State)
+	case a.Instance == previous.Instance && a.StartedAtMs < previous.StartedAtMs:
+		s.options.Log.Info("worker started again with an earlier clock", "instance", a.Instance, "born", a.StartedAtMs,
+			"previous_born", previous.StartedAtMs)
 	}
 
 	s.tick()
