Wait for a silent VM with a request that cannot be sent again

Callers saw 502, may have run, 0.7 s after the VM of the chosen worker fell silent (2 s where the request had been acknowledged), also where the VM was only frozen or cut off and the answer was ready when it came back. A request that may run once cannot be sent again after that.

Cause: TCP_USER_TIMEOUT of 0.7 s on all connections between nodes. It is what lets an idempotent request be tried elsewhere in time, and it also closes a connection whose peer does not answer keep-alive probes.

Change: a request states how long its connection may be silent, and the forwarder states the time to the deadline for requests that are not idempotent. The connection gets the short timeout back with its next request. Ruled out: a pool of connections of its own for such requests, which would double the idle connections between 1,100 nodes.

TestAckTimeoutOfARequestEndsWithIt passes, and fails where the timeout is not taken back.

A caller whose VM is lost for good learns so at the deadline, later than before.

--- a/calls/exchanger/exchange.go
+++ b/calls/exchanger/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -42,6 +43,8 @@
 	// Identifies reports whether a matching response names this request; nil accepts every response. One that does not is accepted only on a
 	// connection without earlier requests, where it cannot be a copy of an earlier response. The connection is closed afterwards.
 	Identifies func(h http.Header) bool
+	// AckTimeout is how long sent bytes may stay unacknowledged, and the peer silent, before the connection fails; zero means the exchanger's.
+	AckTimeout time.Duration
 	// BeforeSend is called once a connection is open, before the first byte is sent. If it returns an error, nothing is sent. It may be nil.
 	BeforeSend func() error
 }
@@ -94,6 +97,12 @@
 		return nil, &ExchangeError{err: err, refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 
+	if err := c.setAckTimeout(cmp.Or(r.AckTimeout, x.options.ackTimeout())); err != nil {
+		c.close()
+
+		return nil, &ExchangeError{err: err}
+	}
+
 	if r.BeforeSend != nil {
 		if err := r.BeforeSend(); err != nil {
 			x.put(c)
--- a/calls/exchanger/exchanger.go
+++ b/calls/exchanger/exchanger.go
@@ -69,6 +69,8 @@
 	Shaper *shaper.Shaper
 }
 
+func (o Options) ackTimeout() time.Duration { return cmp.Or(o.AckTimeout, defaultAckTimeout) }
+
 // Exchanger sends requests and pools idle connections by address. It is safe for concurrent use.
 type Exchanger struct {
 	options Options
@@ -86,19 +88,18 @@
 		dialer: net.Dialer{
 			Timeout:         cmp.Or(options.DialTimeout, defaultDialTimeout),
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveProbes},
-			Control:         setUserTimeout(cmp.Or(options.AckTimeout, defaultAckTimeout)),
+			Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, options.ackTimeout()) },
 		},
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, with which the operating system closes a connection whose data stays unacknowledged.
-func setUserTimeout(timeout time.Duration) func(string, string, syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			// Best effort: without it keep-alive probes still detect an unresponsive peer, but later.
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-	}
+// setUserTimeout sets TCP_USER_TIMEOUT, with which the operating system closes a connection whose data stays unacknowledged, or whose peer does not
+// answer keep-alive probes.
+func setUserTimeout(c syscall.RawConn, timeout time.Duration) error {
+	return c.Control(func(fd uintptr) {
+		// Best effort: without it keep-alive probes still detect an unresponsive peer, but later.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
 }
 
 // conn is a connection to a server.
@@ -110,6 +111,7 @@
 	to          tiller.Address
 	idleSince   time.Time
 	idleTimeout time.Duration
+	ackTimeout  time.Duration
 	// sent is the number of requests that were sent on the connection, and recentIDs are hashes of the ids of the last of them.
 	sent      int
 	recentIDs []uint64
@@ -170,7 +172,7 @@
 
 	return &conn{
 		raw: raw, writer: x.options.Meter.Writer(raw), limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes),
-		to: to, idleTimeout: defaultIdleTimeout,
+		to: to, idleTimeout: defaultIdleTimeout, ackTimeout: x.options.ackTimeout(),
 	}, nil
 }
 
@@ -234,6 +236,27 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// setAckTimeout sets how long the bytes sent from now on may stay unacknowledged.
+func (c *conn) setAckTimeout(timeout time.Duration) error {
+	if timeout == c.ackTimeout {
+		return nil
+	}
+
+	tcp, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+
+	c.ackTimeout = timeout
+
+	return setUserTimeout(raw, timeout)
+}
+
 // hasSent reports whether a request with the same id was among the last ones on the connection.
 func (c *conn) hasSent(r Request) bool {
 	return r.expectsIdentification() && slices.Contains(c.recentIDs, xxhash.Sum64String(r.ID))
--- a/calls/forwarder/call.go
+++ b/calls/forwarder/call.go
@@ -78,7 +78,7 @@
 	c.route = route
 	q.service = f.Splitter.Pick(route)
 	c.settings = c.table.Settings(q.service)
-	q.route, q.priority, q.atMostOnce = route.Name(), route.Priority(), route.AtMostOnce()
+	q.route, q.priority, q.idempotent, q.atMostOnce = route.Name(), route.Priority(), route.Idempotent(), route.AtMostOnce()
 	q.deadline = now + timeLimit(terms, route, c.settings)
 	q.softDeadline = f.softDeadline(route, terms, now)
 
--- a/calls/forwarder/caller.go
+++ b/calls/forwarder/caller.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"time"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/acceptor"
@@ -203,7 +204,7 @@
 	done := measure(f.stages.hop)
 	x, failed := f.NodeExchanger.Do(ctx, exchanger.Request{
 		To: backend.CallAddress(), Method: q.method, Target: q.target, Host: q.host, Header: header,
-		Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length,
+		Prefix: q.body.buffered, Rest: q.takeRest(), Length: q.body.length, AckTimeout: ackTimeout(q, began),
 	})
 
 	done()
@@ -231,6 +232,16 @@
 	return answer, err
 }
 
+// ackTimeout returns how long the VM of a worker may be silent, zero for the default. A request that cannot be sent again waits for it until its
+// deadline: the answer may still come.
+func ackTimeout(q *request, now tiller.Millis) time.Duration {
+	if q.idempotent {
+		return 0
+	}
+
+	return max(q.deadline-now, 0).Duration()
+}
+
 // takeRest returns the unread part of a body that can be sent only once and marks it as consumed; nil if there is none.
 func (q *request) takeRest() io.Reader {
 	if q.body.rest == nil {
--- a/calls/forwarder/request.go
+++ b/calls/forwarder/request.go
@@ -37,6 +37,7 @@
 	priority int
 	// softDeadline is the time until which an answer has its full value, zero if unknown.
 	softDeadline tiller.Millis
+	idempotent   bool
 	atMostOnce   bool
 	deadline     tiller.Millis
 	// arrivedAt is when the call arrived at this node.
