Count a crash that is only seen when the server is back

Callers would have seen: a request that crashes each server that runs it, whose caller leaves before the crash, took down one server after another for as long as its caller sent it again, where the service is so quiet that no other request meets the dead server before it has started again.

Cause: with the end of a call the node closes its connection, so that it cannot see the crash. It counted one against such a request only if another request was refused by the server's port.

Change: an announcement of another start, in place of one that was not leaving, counts as a crash of that start. The requests whose calls had ended less than 2 s before its last announcement, or later, get a strike.

TestRestartAfterTheCallerLeftCounts bounds the time. The set-up of TestCrashAfterTheCallerLeftCounts moved to a function that both use; its checks are the same.

--- a/calls/forwarder/abandoned.go
+++ b/calls/forwarder/abandoned.go
@@ -38,8 +38,8 @@
 	a.runs = a.runs[max(0, len(a.runs)-maxAbandoned):]
 }
 
-// take removes and returns the runs that a crash of the given start of the server has ended.
-func (a *abandonedRuns) take(now tiller.Millis, start string) []abandonedRun {
+// take removes and returns the runs that a crash of the given start of the server has ended, which was last known to run at a time.
+func (a *abandonedRuns) take(aliveAt tiller.Millis, start string) []abandonedRun {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
@@ -50,7 +50,7 @@
 
 	for _, r := range a.runs {
 		switch {
-		case now >= r.at+abandonedLifetime:
+		case aliveAt >= r.at+abandonedLifetime:
 		case r.start == start:
 			out = append(out, r)
 		default:
@@ -69,9 +69,15 @@
 	f.abandoned.add(abandonedRun{start: target.start, crash: crash, digest: q.digest, route: q.route, at: f.Clock.Now()})
 }
 
-// blameAbandoned counts a crash of the backend server against the requests that it may have been running although their calls had ended. It does
-// not wait until other nodes have acknowledged the reports, since no caller waits for them.
-func (f *Forwarder) blameAbandoned(target Target) {
+// ReportRestart records that another start of the backend server has taken the place of a target that was last known to run at a time. Unless the
+// target was leaving, it has crashed.
+func (f *Forwarder) ReportRestart(previous Target, aliveAt tiller.Millis) {
+	f.blameAbandoned(previous, aliveAt)
+}
+
+// blameAbandoned counts a crash of the backend server, which was last known to run at a time, against the requests that it may have been running
+// although their calls had ended. It does not wait until other nodes have acknowledged the reports, since no caller waits for them.
+func (f *Forwarder) blameAbandoned(target Target, aliveAt tiller.Millis) {
 	if target.leaving() {
 		return
 	}
@@ -79,7 +85,7 @@
 	done, cancel := context.WithCancel(context.Background())
 	cancel()
 
-	for _, r := range f.abandoned.take(f.Clock.Now(), target.start) {
+	for _, r := range f.abandoned.take(aliveAt, target.start) {
 		f.crashes.record(r.crash)
 		f.CrashReporter.ReportCrash(done, r.crash, r.digest, r.route)
 	}
--- a/calls/forwarder/abandoned_test.go
+++ b/calls/forwarder/abandoned_test.go
@@ -10,7 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/forwarder"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
 const (
@@ -36,59 +38,99 @@
 
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			running, crashed := make(chan struct{}, 1), make(chan struct{})
-			nodes := newNodes(t, func(http.ResponseWriter, *http.Request) {
-				running <- struct{}{}
+			n, now := nodeWithAbandonedRun(t, tc.path, tc.leaves)
+			now.Add(int64(tc.later))
 
-				<-crashed
-			})
-			n := nodes[0]
-			n.start = "a@1"
+			// The server crashes: its port refuses connections.
+			require.NoError(t, n.backend.server.Listener.Close())
 
-			// The server cannot be closed while it runs a request.
-			t.Cleanup(func() { close(crashed) })
+			d := quarantiner.DigestOf(http.MethodGet, tc.path, "", "", nil)
+			require.Equal(t, "no_backend", send(t, n, http.MethodPut, "/once/1", "", "").reason)
+			require.Equal(t, tc.strikes, n.crashRecords.Strikes(d))
+		})
+	}
+}
 
-			var now atomic.Int64
+// nodeWithAbandonedRun returns a node whose backend server, started as a@1, runs a request whose call has ended: its caller has left, or its time is
+// over. The node's time is the returned one.
+func nodeWithAbandonedRun(t *testing.T, path string, leaves bool) (*fakeNode, *atomic.Int64) {
+	t.Helper()
 
-			now.Store(int64(tiller.Hour))
-			n.forward.Clock = tiller.ClockFunc(func() tiller.Millis { return tiller.Millis(now.Load()) })
+	running, crashed := make(chan struct{}, 1), make(chan struct{})
+	nodes := newNodes(t, func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
 
-			ctx, leave := context.WithCancel(context.Background())
-			defer leave()
+		<-crashed
+	})
+	n := nodes[0]
+	n.start = "a@1"
 
-			r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.server.URL+tc.path, nil)
-			require.NoError(t, err)
+	// The server cannot be closed while it runs a request.
+	t.Cleanup(func() { close(crashed) })
 
-			ended := make(chan struct{})
+	now := &atomic.Int64{}
+	now.Store(int64(tiller.Hour))
+	n.forward.Clock = tiller.ClockFunc(func() tiller.Millis { return tiller.Millis(now.Load()) })
 
-			go func() {
-				defer close(ended)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
 
-				if resp, err := http.DefaultClient.Do(r); err == nil {
-					resp.Body.Close()
-				}
-			}()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.server.URL+path, nil)
+	require.NoError(t, err)
 
-			<-running
+	ended := make(chan struct{})
 
-			if tc.leaves {
-				leave()
-			}
+	go func() {
+		defer close(ended)
 
-			<-ended
-			require.Eventually(t, func() bool {
-				load, _, _ := n.forward.Limiter.Load()
+		if resp, err := http.DefaultClient.Do(r); err == nil {
+			resp.Body.Close()
+		}
+	}()
 
-				return load == 0
-			}, maxWait, poll, "the node has ended the request")
-			now.Add(int64(tc.later))
+	<-running
 
-			// The server crashes: its port refuses connections.
-			require.NoError(t, n.backend.server.Listener.Close())
+	if leaves {
+		leave()
+	}
 
-			d := quarantiner.DigestOf(http.MethodGet, tc.path, "", "", nil)
-			require.Equal(t, "no_backend", send(t, n, http.MethodPut, "/once/1", "", "").reason)
-			require.Equal(t, tc.strikes, n.crashRecords.Strikes(d))
+	<-ended
+	require.Eventually(t, func() bool {
+		load, _, _ := n.forward.Limiter.Load()
+
+		return load == 0
+	}, maxWait, poll, "the node has ended the request")
+
+	return n, now
+}
+
+// TestRestartAfterTheCallerLeftCounts guards against the same where no request meets the server before it is back.
+func TestRestartAfterTheCallerLeftCounts(t *testing.T) {
+	target := forwarder.NewTarget("127.0.0.1:80", "a", wire.BackendState_BACKEND_STATE_READY)
+
+	cases := []struct {
+		name     string
+		previous forwarder.Target
+		// aliveAt is when the server last announced itself, after the end of the call.
+		aliveAt tiller.Millis
+		strikes int
+	}{
+		{"last known to run before the end of the call", target.WithStart("a@1"), -tiller.Second, 1},
+		{"known to run shortly after it", target.WithStart("a@1"), tiller.Second, 1},
+		{"known to run long after it", target.WithStart("a@1"), 2 * tiller.Second, 0},
+		{"another start ended", target.WithStart("a@2"), 0, 0},
+		{"the server was leaving", target.WithStart("a@1").WithLeavingFor(tiller.Some(tiller.Second)), 0, 0},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			n, now := nodeWithAbandonedRun(t, "/calls/1", true)
+			endedAt := tiller.Millis(now.Load())
+
+			// The server is back only after a while.
+			now.Add(int64(10 * tiller.Second))
+			n.forward.ReportRestart(tc.previous, endedAt+tc.aliveAt)
+			require.Equal(t, tc.strikes, n.crashRecords.Strikes(quarantiner.DigestOf(http.MethodGet, "/calls/1", "", "", nil)))
 		})
 	}
 }
--- a/calls/forwarder/crash.go
+++ b/calls/forwarder/crash.go
@@ -27,7 +27,7 @@
 ) *tiller.CallError {
 	if failed.Refused() {
 		f.BackendServer.ReportRefused()
-		f.blameAbandoned(target)
+		f.blameAbandoned(target, f.Clock.Now())
 
 		return notRun(tiller.ReasonNoBackend, fmt.Sprintf("the backend server of %s refuses connections", f.Name)).WithUntried()
 	}
@@ -43,7 +43,7 @@
 
 		// Without a confirmation the server may have closed this connection only.
 		if f.ConfirmCrashes {
-			f.blameAbandoned(target)
+			f.blameAbandoned(target, f.Clock.Now())
 		}
 	}
 
--- a/membership/registrar/registrar.go
+++ b/membership/registrar/registrar.go
@@ -274,6 +274,9 @@
 // Ignored returns the number of announcements that were ignored because a later one or a withdrawal supersedes them.
 func (c *Core) Ignored() int { return c.ignored }
 
+// AnnouncedAt returns when the latest announcement was accepted.
+func (c *Core) AnnouncedAt() tiller.Millis { return c.announcedAt }
+
 // Latest returns the latest announcement that was accepted.
 func (c *Core) Latest() Announcement { return c.current }
 
--- a/process/nodeserver/adapter.go
+++ b/process/nodeserver/adapter.go
@@ -126,6 +126,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	return s.target()
+}
+
+// target returns the current state of the backend server. The caller holds the lock.
+func (s *Server) target() forwarder.Target {
 	now := s.clock.Now()
 	state := s.registrar.Backend(now).State
 
@@ -209,24 +214,10 @@
 // Announce applies an announcement of the backend server, or returns every fault in it and applies nothing. It returns ErrNotReplicated if
 // the server leaves and that may be forgotten when this node restarts.
 func (s *Server) Announce(ctx context.Context, a registrar.Announcement) ([]string, error) {
-	s.mu.Lock()
-	ignored, previous := s.registrar.Ignored(), s.registrar.Latest()
-	faults := s.registrar.Announce(s.clock.Now(), a)
-	ignored = s.registrar.Ignored() - ignored
-	s.mu.Unlock()
-
-	if len(faults) > 0 {
+	if faults := s.register(a); len(faults) > 0 {
 		return faults, nil
 	}
 
-	switch {
-	case ignored > 0:
-		s.options.Log.Info("announcement ignored", "instance", a.Instance, "born", a.StartedAtMs, "sequence", a.Sequence, "state", a.State)
-	case a.Instance == previous.Instance && a.StartedAtMs < previous.StartedAtMs:
-		s.options.Log.Info("worker started again with an earlier clock", "instance", a.Instance, "born", a.StartedAtMs,
-			"previous_born", previous.StartedAtMs)
-	}
-
 	s.tick()
 
 	if t := s.table.Load(); t != nil {
@@ -242,6 +233,34 @@
 	return nil, s.replicateEntry(ctx)
 }
 
+// register gives an announcement to the registrar, and returns every fault in it.
+func (s *Server) register(a registrar.Announcement) []string {
+	s.mu.Lock()
+	ignored, previous, start := s.registrar.Ignored(), s.registrar.Latest(), s.registrar.Start()
+	target, aliveAt := s.target(), s.registrar.AnnouncedAt()
+	faults := s.registrar.Announce(s.clock.Now(), a)
+	ignored = s.registrar.Ignored() - ignored
+	restarted := start != "" && s.registrar.Start() != start
+	s.mu.Unlock()
+
+	if ignored > 0 {
+		s.options.Log.Info("announcement ignored", "instance", a.Instance, "born", a.StartedAtMs, "sequence", a.Sequence, "state", a.State)
+	}
+
+	if !restarted {
+		return faults
+	}
+
+	if a.Instance == previous.Instance && a.StartedAtMs < previous.StartedAtMs {
+		s.options.Log.Info("worker started again with an earlier clock", "instance", a.Instance, "born", a.StartedAtMs,
+			"previous_born", previous.StartedAtMs)
+	}
+
+	s.forwarder.ReportRestart(target, aliveAt)
+
+	return nil
+}
+
 // Withdraw records that one instance of the backend server is leaving; born is the instance's start in Unix milliseconds, zero if unknown.
 // It returns ErrInvalidWithdrawal if no server can have such a start, and ErrNotReplicated if the withdrawal may be forgotten when this node
 // restarts.
