Store crash records at the controllers

Callers would have seen: after a kill of all nodes at the same moment a request that had crashed two servers, and was refused from then on, ran again and crashed two more.

Cause: crash records were only in nodes' memory, and a node that starts is told of them by its peers. It is the class of fault of the lost withdrawals: state that must outlast a restart, kept only in processes that can all be restarted at once.

Change: a node sends each new crash record, with its total, to the controllers, which write it to the file of withdrawals; they send what they have to a node that starts and asks for its withdrawals. Merging takes the larger total, so that copies are harmless and need no order; a success deletes the record there too. A node ignores records of a request for 5 s after its quarantine was lifted: TestStartedNodeKnowsCrashingRequests showed that a record in flight brought a lifted one back. No answer waits for the controllers. Ruled out: the replicated log (one entry for each request of a crash, none while there is no leader).

TestCrashingRequestIsKnownAfterAKillOfAllNodes, in virtual time: 2 of 2 cases failed before (controllers running, and killed too), both pass.

--- a/internal/fleettest/strike_test.go
+++ b/internal/fleettest/strike_test.go
@@ -63,3 +63,58 @@
 		})
 	}
 }
+
+// TestCrashingRequestIsKnownAfterAKillOfAllNodes guards against a request that crashes servers anew because no process remembers it.
+func TestCrashingRequestIsKnownAfterAKillOfAllNodes(t *testing.T) {
+	const strikeLimit = 2
+
+	crashing := quarantiner.DigestOf("PUT", "/calls/1", "", "", nil)
+	innocent := quarantiner.DigestOf("PUT", "/calls/2", "", "", nil)
+
+	for _, controllers := range []bool{false, true} {
+		t.Run(fmt.Sprintf("controllers killed %t", controllers), func(t *testing.T) {
+			f, _ := settledFleet(t, 2, 5)
+			for crash := range uint64(strikeLimit) {
+				for i, d := range []quarantiner.Digest{crashing, innocent} {
+					f.stepNode(f.nodes[0], node.CrashReport{Token: 2*crash + uint64(i) + 1, Crash: crash + 1, Digest: d, Route: "browse"})
+				}
+
+				f.run(tiller.Second)
+			}
+
+			f.stepNode(f.nodes[1], node.ClearStrikes{Digest: innocent})
+			f.run(tiller.Second)
+
+			for _, n := range f.nodes {
+				n.up = false
+			}
+
+			if controllers {
+				for _, c := range f.controllers {
+					c.up = false
+				}
+			}
+
+			f.run(restartDelay)
+
+			if controllers {
+				for _, c := range f.controllers {
+					f.startController(c)
+				}
+			}
+
+			for _, n := range f.nodes {
+				f.startNode(n)
+			}
+
+			f.until(restoreBound, "all nodes know the request again", func() bool {
+				return !slices.ContainsFunc(f.nodes, func(n *testNode) bool { return n.crashRecords.Strikes(crashing) < strikeLimit })
+			})
+
+			for _, n := range f.nodes {
+				require.Equal(t, strikeLimit, n.crashRecords.Strikes(crashing), "strikes are not counted twice")
+				require.False(t, n.crashRecords.Has(innocent), "a lifted quarantine stays lifted")
+			}
+		})
+	}
+}
--- a/internal/fleettest/withdrawal_test.go
+++ b/internal/fleettest/withdrawal_test.go
@@ -25,8 +25,8 @@
 )
 
 func (f *fleet) deliverToController(c *testController, e *wire.Envelope) {
-	r := e.GetWithdrawalSync()
-	if r == nil {
+	r, crashes := e.GetWithdrawalSync(), e.GetCrashRecords()
+	if r == nil && crashes == nil {
 		f.stepController(c, controller.Receive{Envelope: e})
 
 		return
@@ -36,8 +36,22 @@
 		return
 	}
 
+	if crashes != nil {
+		if record := c.withdrawals.MergeCrashRecords(f.now, crashes); record != nil {
+			c.withdrawalDisk = append(c.withdrawalDisk, record)
+		}
+
+		return
+	}
+
 	c.withdrawalSyncs++
 
+	if stored := c.withdrawals.CrashRecords(f.now); len(r.GetWithdrawals()) == 0 && len(stored) > 0 {
+		f.net.Send(f.now, &wire.Envelope{From: c.address, To: e.GetFrom(), Body: &wire.Envelope_CrashRecords{
+			CrashRecords: &wire.CrashRecords{Records: stored},
+		}})
+	}
+
 	result := c.withdrawals.Sync(f.now, r, c.core.Voters())
 	if result.Record != nil {
 		c.withdrawalDisk = append(c.withdrawalDisk, result.Record)
--- a/membership/synchronizer/synchronizer.go
+++ b/membership/synchronizer/synchronizer.go
@@ -114,7 +114,7 @@
 
 	var out []*wire.Envelope
 
-	for _, address := range c.addresses() {
+	for _, address := range c.Controllers() {
 		p := c.peers[address]
 		if p.stored >= c.revision || now < p.nextSendAt {
 			continue
@@ -130,8 +130,8 @@
 	return out
 }
 
-// addresses returns the controllers in order of their addresses.
-func (c *Core) addresses() []string {
+// Controllers returns the addresses of the known controllers, in order.
+func (c *Core) Controllers() []string {
 	out := make([]string, 0, len(c.peers))
 	for address := range c.peers {
 		out = append(out, address)
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -133,7 +133,7 @@
 
 // receive handles a message of another process.
 func (s *Server) receive(e *wire.Envelope) {
-	if e.GetWithdrawalSync() != nil {
+	if e.GetWithdrawalSync() != nil || e.GetCrashRecords() != nil {
 		s.withdrawals.receive(e)
 
 		return
--- a/process/controlserver/withdrawals.go
+++ b/process/controlserver/withdrawals.go
@@ -28,8 +28,8 @@
 
 var _ withdrawalFile = (*journaler.WithdrawalLog)(nil)
 
-// withdrawalKeeper stores the withdrawals that nodes send and replies once they are durable. It has a file and a goroutine of its own, so that
-// neither delays the replicated log; the requests that arrive during one sync share the next.
+// withdrawalKeeper stores the withdrawals and crash records that nodes send, and replies to withdrawals once they are durable. It has a file and a
+// goroutine of its own, so that neither delays the replicated log; the messages that arrive during one sync share the next.
 type withdrawalKeeper struct {
 	core     *archiver.Core
 	file     withdrawalFile
@@ -109,6 +109,14 @@
 	voters := k.voters()
 
 	for _, e := range batch {
+		if m := e.GetCrashRecords(); m != nil {
+			if record := k.core.MergeCrashRecords(k.clock.Now(), m); record != nil {
+				records = append(records, record)
+			}
+
+			continue
+		}
+
 		r := e.GetWithdrawalSync()
 		result := k.core.Sync(k.clock.Now(), r, voters)
 
@@ -123,6 +131,7 @@
 		switch {
 		case len(r.GetWithdrawals()) == 0:
 			recalls = append(recalls, answer...)
+			recalls = append(recalls, k.crashRecords(e)...)
 		case result.Complete:
 			replies = append(replies, answer...)
 		}
@@ -130,11 +139,23 @@
 
 	k.send(recalls...)
 
-	if len(replies) > 0 && k.persist(records) {
+	if (len(records) > 0 || len(replies) > 0) && k.persist(records) {
 		k.send(replies...)
 	}
 }
 
+// crashRecords returns a message with the crash records to a node that has started, none if there are no records.
+func (k *withdrawalKeeper) crashRecords(to *wire.Envelope) []*wire.Envelope {
+	records := k.core.CrashRecords(k.clock.Now())
+	if len(records) == 0 {
+		return nil
+	}
+
+	return []*wire.Envelope{{
+		From: to.GetTo(), To: to.GetFrom(), Stream: true, Body: &wire.Envelope_CrashRecords{CrashRecords: &wire.CrashRecords{Records: records}},
+	}}
+}
+
 // persist makes new records durable and reports whether the file holds all withdrawals of the core.
 func (k *withdrawalKeeper) persist(records []*wire.WithdrawalRecord) bool {
 	var err error
--- a/process/node/crashrecord.go
+++ b/process/node/crashrecord.go
@@ -1,32 +1,44 @@
 package node
 
 import (
+	"slices"
+
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
 const (
-	// maxSentCrashRecords bounds the crash records that are sent to a process that has started; the latest are sent.
-	maxSentCrashRecords = 500
-	// maxRestoredStrikes bounds the strikes that a record of another node counts for.
-	maxRestoredStrikes = 100
+	// liftMemory is how long crash records of a request are ignored after its quarantine was lifted: they may have been sent before.
+	liftMemory = 5 * tiller.Second
+	// maxLifts bounds the lifts that are remembered.
+	maxLifts = 256
 )
 
-// sendCrashRecords tells a process that has started which requests have crashed backend servers: it knows none.
-func (c *Core) sendCrashRecords(to string) {
-	known := c.crashRecords.List()
-	known = known[max(0, len(known)-maxSentCrashRecords):]
+// lift is a request whose quarantine was lifted.
+type lift struct {
+	digest quarantiner.Digest
+	at     tiller.Millis
+}
 
-	if len(known) == 0 {
-		return
-	}
+// forgetCrashes deletes the crash record of a request, whose quarantine is lifted, and reports whether there was one.
+func (c *Core) forgetCrashes(d quarantiner.Digest) bool {
+	c.lifts = slices.DeleteFunc(c.lifts, func(l lift) bool { return l.digest == d || c.now >= l.at+liftMemory })
+	c.lifts = append(c.lifts, lift{digest: d, at: c.now})
+	c.lifts = c.lifts[max(0, len(c.lifts)-maxLifts):]
 
-	records := make([]*wire.CrashRecord, 0, len(known))
-	for _, r := range known {
-		records = append(records, &wire.CrashRecord{
-			Digest: []byte(r.Digest()), Route: r.Route(), Strikes: uint32(r.Strikes()), Age: int64(max(c.now-r.At(), 0)),
-		})
+	return c.crashRecords.Clear(d)
+}
+
+// recentlyLifted reports whether the quarantine of a request was lifted a short while ago.
+func (c *Core) recentlyLifted(d quarantiner.Digest) bool {
+	return slices.ContainsFunc(c.lifts, func(l lift) bool { return l.digest == d && c.now < l.at+liftMemory })
+}
+
+// sendCrashRecords sends crash records to another process, if there are any.
+func (c *Core) sendCrashRecords(to string, records []*wire.CrashRecord) {
+	if len(records) == 0 {
+		return
 	}
 
 	// A datagram may be lost, and this message is sent once.
@@ -36,10 +48,22 @@
 	})
 }
 
-// receiveCrashRecords adopts the crash records of a peer where it counts more strikes.
+// storeCrashRecord sends the crash record of a request to the controllers, which store it in case all nodes are killed. One without strikes deletes
+// what they have stored.
+func (c *Core) storeCrashRecord(d quarantiner.Digest) {
+	record := c.crashRecords.Record(d).Encode(c.now)
+	record.Digest = []byte(d)
+
+	for _, controller := range c.synchronizer.Controllers() {
+		c.sendCrashRecords(controller, []*wire.CrashRecord{record})
+	}
+}
+
+// receiveCrashRecords adopts the crash records of a peer or a controller where it counts more strikes.
 func (c *Core) receiveCrashRecords(m *wire.CrashRecords) {
 	for _, r := range m.GetRecords() {
-		at := c.now - max(tiller.Millis(r.GetAge()), 0)
-		c.crashRecords.RaiseStrikes(at, quarantiner.Digest(r.GetDigest()), r.GetRoute(), int(min(r.GetStrikes(), maxRestoredStrikes)))
+		if !c.recentlyLifted(quarantiner.Digest(r.GetDigest())) {
+			c.crashRecords.Merge(c.now, r)
+		}
 	}
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -121,6 +121,8 @@
 	claimant     *claimer.Claimant
 	crashRecords *quarantiner.Registry
 	strikes      *strikeTracker
+	// lifts are the quarantines that were lifted lately, the latest last.
+	lifts        []lift
 	clock        tiller.MonotonicClock
 	now          tiller.Millis
 	wall         tiller.Millis
@@ -257,7 +259,7 @@
 	c.finishReplications(e.Replicated)
 
 	for _, address := range e.Started {
-		c.sendCrashRecords(address)
+		c.sendCrashRecords(address, c.crashRecords.Encode(c.now))
 	}
 
 	if e.RoundTrip > 0 {
--- a/process/node/strike.go
+++ b/process/node/strike.go
@@ -130,6 +130,7 @@
 		total := c.crashRecords.AddStrikes(c.now, e.Digest, e.Route, 1)
 		c.out.Events = append(c.out.Events, tiller.NewEvent(tiller.EventCrashed,
 			fmt.Sprintf("request in flight when the backend server crashed, strike %d", total), tiller.WithKey(e.Digest.String())))
+		c.storeCrashRecord(e.Digest)
 	}
 
 	c.broadcastStrike(&wire.Strike{Digest: []byte(e.Digest), Route: e.Route, Count: 1, Nonce: nonce, Worker: c.config.Name}, peers, remote)
@@ -140,11 +141,12 @@
 }
 
 func (c *Core) clearStrikes(d quarantiner.Digest) {
-	if !c.crashRecords.Clear(d) {
+	if !c.forgetCrashes(d) {
 		return
 	}
 
 	c.broadcastStrike(&wire.Strike{Digest: []byte(d), Lift: true}, c.peerAddresses(), c.remoteRelays())
+	c.storeCrashRecord(d)
 }
 
 // broadcastStrike sends a strike to the peers in the data centre, and to a few nodes of every other data centre, which forward it to their own
@@ -210,7 +212,7 @@
 	}
 
 	if s.GetLift() {
-		c.crashRecords.Clear(d)
+		c.forgetCrashes(d)
 
 		return
 	}
--- a/source/archiver/archiver.go
+++ b/source/archiver/archiver.go
@@ -1,10 +1,12 @@
-// Package archiver holds the withdrawals that a controller stores for nodes, so that they outlast a restart of all nodes. It performs no I/O.
+// Package archiver holds the withdrawals and crash records that a controller stores for nodes, so that they outlast a restart of all nodes. It
+// performs no I/O.
 package archiver
 
 import (
 	"slices"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
@@ -31,10 +33,14 @@
 	now         tiller.Millis
 	nextSweepAt tiller.Millis
 	nodes       map[string][]withdrawal
+	// crashRecords are what the nodes know of crashing requests.
+	crashRecords *quarantiner.Registry
 }
 
 // New returns an empty store.
-func New() *Core { return &Core{nodes: map[string][]withdrawal{}} }
+func New() *Core {
+	return &Core{nodes: map[string][]withdrawal{}, crashRecords: quarantiner.NewRegistry()}
+}
 
 // Result is what follows from a request of a node.
 type Result struct {
@@ -62,10 +68,11 @@
 	return result
 }
 
-// Load adds withdrawals that are durable.
+// Load applies records that are durable, in the order in which they were written.
 func (c *Core) Load(reading tiller.Millis, records []*wire.WithdrawalRecord) {
 	for _, r := range records {
 		c.Add(reading, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
+		c.MergeCrashRecords(reading, &wire.CrashRecords{Records: r.GetCrashRecords()})
 	}
 }
 
@@ -109,7 +116,7 @@
 	return slices.ContainsFunc(c.nodes[node], func(known withdrawal) bool { return known.Withdrawal == w })
 }
 
-// Records returns all withdrawals in an order of their nodes' names.
+// Records returns all withdrawals in an order of their nodes' names, and the latest crash records.
 func (c *Core) Records(reading tiller.Millis) []*wire.WithdrawalRecord {
 	c.advance(reading)
 
@@ -125,6 +132,10 @@
 		}
 	}
 
+	if crashes := c.CrashRecords(reading); len(crashes) > 0 {
+		out = append(out, &wire.WithdrawalRecord{CrashRecords: crashes})
+	}
+
 	return out
 }
 
--- a/source/archiver/archiver_test.go
+++ b/source/archiver/archiver_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/archiver"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
 func withdrawal(instance string) detector.Withdrawal {
@@ -36,6 +38,52 @@
 	require.Empty(t, c.List(0, "n1"), "the clock was set back")
 }
 
+func TestCrashRecords(t *testing.T) {
+	record := func(digest string, strikes uint32) *wire.CrashRecord {
+		return &wire.CrashRecord{Digest: []byte(digest), Route: "browse", Strikes: strikes}
+	}
+	strikes := func(c *archiver.Core) map[string]uint32 {
+		out := map[string]uint32{}
+		for _, r := range c.CrashRecords(0) {
+			out[string(r.GetDigest())] = r.GetStrikes()
+		}
+
+		return out
+	}
+	merge := func(c *archiver.Core, records ...*wire.CrashRecord) *wire.WithdrawalRecord {
+		return c.MergeCrashRecords(0, &wire.CrashRecords{Records: records})
+	}
+
+	c := archiver.New()
+	require.Empty(t, c.CrashRecords(0))
+
+	disk := []*wire.WithdrawalRecord{merge(c, record("a", 1), record("b", 2))}
+	require.Nil(t, merge(c, record("a", 1), record("b", 1), record("unknown", 0)), "nothing new")
+
+	disk = append(disk, merge(c, record("a", 2)), merge(c, record("b", 0)))
+	require.Equal(t, map[string]uint32{"a": 2}, strikes(c))
+
+	for name, records := range map[string][]*wire.WithdrawalRecord{"appended": disk, "replaced": c.Records(0)} {
+		loaded := archiver.New()
+		loaded.Load(0, records)
+		require.Equal(t, strikes(c), strikes(loaded), name)
+	}
+
+	for name, r := range map[string]*wire.CrashRecord{
+		"no digest": record("", 1), "a long digest": record(strings.Repeat("d", 65), 1),
+		"a long route": {Digest: []byte("d"), Strikes: 1, Route: strings.Repeat("r", detector.MaxTextBytes+1)},
+	} {
+		require.Nil(t, merge(c, r), name)
+	}
+
+	for i := range 2 * quarantiner.MaxSentRecords {
+		merge(c, record(fmt.Sprintf("d-%d", i), 1))
+	}
+
+	require.Len(t, c.CrashRecords(0), quarantiner.MaxSentRecords)
+	require.Contains(t, strikes(c), fmt.Sprintf("d-%d", 2*quarantiner.MaxSentRecords-1), "the latest are kept")
+}
+
 func TestStoreIsBounded(t *testing.T) {
 	c := archiver.New()
 
--- /dev/null
+++ b/source/archiver/crashrecord.go
@@ -0,0 +1,56 @@
+package archiver
+
+import (
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
+	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
+	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
+	"gitlab.com/sycamoretiller/sycamoretiller/wire"
+)
+
+// maxDigestBytes bounds the digest of a crash record.
+const maxDigestBytes = 64
+
+// MergeCrashRecords adds crash records where they count more strikes, and deletes those without strikes. It returns what is to be made durable, nil
+// if nothing has changed.
+func (c *Core) MergeCrashRecords(reading tiller.Millis, m *wire.CrashRecords) *wire.WithdrawalRecord {
+	c.advance(reading)
+
+	var changed []*wire.CrashRecord
+
+	records := m.GetRecords()
+	for _, r := range records[:min(len(records), quarantiner.MaxSentRecords)] {
+		if c.mergeCrashRecord(r) {
+			changed = append(changed, r)
+		}
+	}
+
+	if len(changed) == 0 {
+		return nil
+	}
+
+	return &wire.WithdrawalRecord{CrashRecords: changed}
+}
+
+// mergeCrashRecord reports whether a record has changed what is stored.
+func (c *Core) mergeCrashRecord(r *wire.CrashRecord) bool {
+	if len(r.GetDigest()) == 0 || len(r.GetDigest()) > maxDigestBytes || len(r.GetRoute()) > detector.MaxTextBytes {
+		return false
+	}
+
+	d := quarantiner.Digest(r.GetDigest())
+	if r.GetStrikes() == 0 {
+		return c.crashRecords.Clear(d)
+	}
+
+	before := c.crashRecords.Strikes(d)
+	c.crashRecords.Merge(c.now, r)
+
+	return c.crashRecords.Strikes(d) > before
+}
+
+// CrashRecords returns the latest crash records for a node that has started.
+func (c *Core) CrashRecords(reading tiller.Millis) []*wire.CrashRecord {
+	c.advance(reading)
+
+	return c.crashRecords.Encode(c.now)
+}
