Soak: SIGTERM may end a process that has not begun to run

All nodes had been killed and were started again at 78 ms, and node-1-2 got SIGTERM at 115 ms.

Cause: until a program has installed its handler, SIGTERM ends it as any other program. It has then accepted nothing, and writes its first log line after the handler is in place. It is a fault of the check.

Change: such an end is a clean one only if the status is SIGTERM's and the start has written no log line.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -32,6 +32,8 @@
 	disturbances []time.Time
 	// killed is set once SIGKILL has been sent since the last start.
 	killed bool
+	// logBytes is the size of the log at the last start.
+	logBytes int64
 }
 
 // newProcess writes the settings file of a program.
@@ -60,6 +62,8 @@
 
 func (p *process) settings() string { return filepath.Join(p.folder, p.name+".yaml") }
 
+func (p *process) log() string { return filepath.Join(p.folder, p.name+".log") }
+
 // start runs the program unless it runs already. Its output is appended to the log of earlier starts.
 func (p *process) start() error {
 	p.mu.Lock()
@@ -69,11 +73,16 @@
 		return nil
 	}
 
-	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 
+	info, err := log.Stat()
+	if err != nil {
+		return errors.Join(err, log.Close())
+	}
+
 	command := exec.Command(p.program, "run", "--settings", p.settings())
 	command.Dir = p.folder
 	command.Stdout, command.Stderr = log, log
@@ -84,7 +93,7 @@
 
 	ended := make(chan struct{})
 	p.command, p.ended = command, ended
-	p.killed = false
+	p.killed, p.logBytes = false, info.Size()
 	p.starts++
 	p.disturbances = append(p.disturbances, time.Now())
 
@@ -146,13 +155,27 @@
 	defer p.mu.Unlock()
 
 	// If a kill overlapped the stop, the exit status is that of the kill.
-	if p.err != nil && !p.killed {
+	if p.err != nil && !p.killed && !p.terminatedBeforeMain() {
 		return fmt.Errorf("%s failed during its graceful stop: %w", p.name, p.err)
 	}
 
 	return nil
 }
 
+// terminatedBeforeMain reports whether SIGTERM has ended the process before it could handle signals, which it does before it writes its first log
+// line. The lock is held.
+func (p *process) terminatedBeforeMain() bool {
+	var exit *exec.ExitError
+	if !errors.As(p.err, &exit) {
+		return false
+	}
+
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	info, err := os.Stat(p.log())
+
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM && err == nil && info.Size() == p.logBytes
+}
+
 // pause suspends the process for a while.
 func (p *process) pause(span time.Duration) {
 	p.signal(syscall.SIGSTOP)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,6 +34,24 @@
 	239: "fault of the soak test: the crashing request used the same path as the callers, so their calls were refused as well",
 }
 
+// TestStopOfAStartingProcess guards against a report of a failed stop where the process had not begun to run.
+func TestStopOfAStartingProcess(t *testing.T) {
+	programs := t.TempDir()
+	require.NoError(t, build(programs))
+
+	f, err := newFleet(programs, t.TempDir(), 1)
+
+	defer func() { require.NoError(t, f.stop()) }()
+
+	require.NoError(t, err)
+
+	for delay := time.Duration(0); delay < 40*time.Millisecond; delay += 2 * time.Millisecond {
+		require.NoError(t, f.nodes[0].start())
+		time.Sleep(delay)
+		require.NoError(t, f.nodes[0].terminate(stopBound), "after %s", delay)
+	}
+}
+
 func TestSoak(t *testing.T) {
 	programs := t.TempDir()
 	require.NoError(t, build(programs))
