Soak: choose a free network for each test process

Change: without -network, a test process reserves the first network that is free until it ends. A set one is reserved as well, so that a second process with the same one fails at once and says so.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -24,7 +26,7 @@
 	length = flag.Duration("length", 6*time.Second, "period in which faults begin")
 	nodes  = flag.Int("nodes", 6, "number of nodes")
 	// network allows several soak tests to run at the same time on one machine.
-	network = flag.Int("network", 6, "second octet of the loopback addresses; the next number is used too")
+	network = flag.Int("network", 0, "second octet of the loopback addresses; the next number is used too; zero means the first that is free")
 	keep    = flag.String("keep", "", "folder in which the settings, data and logs of each seed are kept")
 )
 
@@ -34,6 +36,53 @@
 	239: "fault of the soak test: the crashing request used the same path as the callers, so their calls were refused as well",
 }
 
+const (
+	// firstNetwork and lastNetwork bound the networks that a test chooses itself. Other tests use later ones.
+	firstNetwork = 6
+	lastNetwork  = 62
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	// The listener reserves the network until the process ends.
+	reserved, err := reserveNetwork()
+	if err != nil {
+		panic(err)
+	}
+
+	code := m.Run()
+	_ = reserved.Close()
+
+	os.Exit(code)
+}
+
+// reserveNetwork chooses a network unless one is set, and reserves it for this process.
+func reserveNetwork() (net.Listener, error) {
+	candidates := []int{*network}
+	if *network == 0 {
+		candidates = nil
+		for n := firstNetwork; n <= lastNetwork; n += 2 {
+			candidates = append(candidates, n)
+		}
+	}
+
+	var errs []error
+
+	for _, n := range candidates {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%s", n, controlPort))
+		if err == nil {
+			*network = n
+
+			return l, nil
+		}
+
+		errs = append(errs, err)
+	}
+
+	return nil, errors.Join(errs...)
+}
+
 // TestStopOfAStartingProcess guards against a report of a failed stop where the process had not begun to run.
 func TestStopOfAStartingProcess(t *testing.T) {
 	programs := t.TempDir()
