Do not blame a request for the crash of the server before its own

At the announcement of another start only the requests that were sent before that end get a strike.

TestRunOnTheRestartedServerIsInnocent failed before (one strike).

--- a/calls/forwarder/abandoned.go
+++ b/calls/forwarder/abandoned.go
@@ -72,12 +72,13 @@
 // ReportRestart records that another start of the backend server has taken the place of a target that was last known to run at a time. Unless the
 // target was leaving, it has crashed.
 func (f *Forwarder) ReportRestart(previous Target, aliveAt tiller.Millis) {
-	f.blameAbandoned(previous, aliveAt)
+	f.blameAbandoned(previous, aliveAt, f.crashes.lastOf(previous.start))
 }
 
 // blameAbandoned counts a crash of the backend server, which was last known to run at a time, against the requests that it may have been running
-// although their calls had ended. It does not wait until other nodes have acknowledged the reports, since no caller waits for them.
-func (f *Forwarder) blameAbandoned(target Target, aliveAt tiller.Millis) {
+// although their calls had ended. Those that would break in a crash of a greater number than the last one were sent to a server that has
+// taken the target's place. It does not wait until other nodes have acknowledged the reports, since no caller waits for them.
+func (f *Forwarder) blameAbandoned(target Target, aliveAt tiller.Millis, last uint64) {
 	if target.leaving() {
 		return
 	}
@@ -86,6 +87,10 @@
 	cancel()
 
 	for _, r := range f.abandoned.take(aliveAt, target.start) {
+		if r.crash > last {
+			continue
+		}
+
 		f.crashes.record(r.crash)
 		f.CrashReporter.ReportCrash(done, r.crash, r.digest, r.route)
 	}
--- a/calls/forwarder/abandoned_test.go
+++ b/calls/forwarder/abandoned_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -72,34 +73,7 @@
 	now.Store(int64(tiller.Hour))
 	n.forward.Clock = tiller.ClockFunc(func() tiller.Millis { return tiller.Millis(now.Load()) })
 
-	ctx, leave := context.WithCancel(context.Background())
-	defer leave()
-
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.server.URL+path, nil)
-	require.NoError(t, err)
-
-	ended := make(chan struct{})
-
-	go func() {
-		defer close(ended)
-
-		if resp, err := http.DefaultClient.Do(r); err == nil {
-			resp.Body.Close()
-		}
-	}()
-
-	<-running
-
-	if leaves {
-		leave()
-	}
-
-	<-ended
-	require.Eventually(t, func() bool {
-		load, _, _ := n.forward.Limiter.Load()
-
-		return load == 0
-	}, maxWait, poll, "the node has ended the request")
+	abandon(t, n, path, leaves, running)
 
 	return n, now
 }
@@ -134,3 +108,70 @@
 		})
 	}
 }
+
+// TestRunOnTheRestartedServerIsInnocent guards against a strike for a request that was sent to the server after its crash had been seen, when it
+// was back but had not announced itself yet.
+func TestRunOnTheRestartedServerIsInnocent(t *testing.T) {
+	n, _ := nodeWithAbandonedRun(t, "/calls/1", true)
+	previous := n.Target()
+
+	require.NoError(t, n.backend.server.Listener.Close())
+	require.Equal(t, "no_backend", send(t, n, http.MethodPut, "/once/1", "", "").reason)
+
+	running, end := make(chan struct{}, 1), make(chan struct{})
+	back := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+
+		<-end
+	}))
+	t.Cleanup(back.Close)
+	t.Cleanup(func() { close(end) })
+
+	n.backend.server = back
+
+	abandon(t, n, "/calls/2", true, running)
+	n.forward.ReportRestart(previous, tiller.Hour)
+	require.Equal(t, 1, n.crashRecords.Strikes(quarantiner.DigestOf(http.MethodGet, "/calls/1", "", "", nil)))
+	require.Zero(t, n.crashRecords.Strikes(quarantiner.DigestOf(http.MethodGet, "/calls/2", "", "", nil)))
+}
+
+// abandon calls a node for a path. Once the backend server runs the request, its caller leaves, or its time ends.
+func abandon(t *testing.T, n *fakeNode, path string, leaves bool, running <-chan struct{}) {
+	t.Helper()
+
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.server.URL+path, nil)
+	require.NoError(t, err)
+
+	ended := make(chan struct{})
+
+	go func() {
+		defer close(ended)
+
+		if resp, err := http.DefaultClient.Do(r); err == nil {
+			resp.Body.Close()
+		}
+	}()
+
+	<-running
+
+	if leaves {
+		leave()
+	}
+
+	<-ended
+	waitUntilIdle(t, n)
+}
+
+// waitUntilIdle waits until a node has ended all requests.
+func waitUntilIdle(t *testing.T, n *fakeNode) {
+	t.Helper()
+
+	require.Eventually(t, func() bool {
+		load, _, _ := n.forward.Limiter.Load()
+
+		return load == 0
+	}, maxWait, poll, "the node has ended the request")
+}
