Name the controllers' file of withdrawals and crash records the archive

The file and what keeps it were named after withdrawals, and hold crash records too. Names and texts only: ArchiveRecord, ArchiveLog, archiveKeeper, the file `archive`, the timer `archive.sync`, the log line `archive cannot be written now`.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -36,9 +36,9 @@
 	address string
 	core    *controller.Core
 	disk    replicator.RestoredState
-	// withdrawals are those of the nodes, and withdrawalDisk those that the controller has written to its disk.
-	withdrawals    *archiver.Core
-	withdrawalDisk []*wire.WithdrawalRecord
+	// archive holds what the controller stores for nodes, and archiveDisk what it has written to its disk.
+	archive     *archiver.Core
+	archiveDisk []*wire.ArchiveRecord
 	// withdrawalSyncs counts the requests of nodes.
 	withdrawalSyncs int
 	// lostDisks is how many disks the controller has lost; each has an identity of its own.
@@ -122,7 +122,7 @@
 // loseDisk starts a controller again with an empty disk.
 func (f *fleet) loseDisk(c *testController) {
 	c.disk = replicator.RestoredState{}
-	c.withdrawalDisk = nil
+	c.archiveDisk = nil
 	c.lostDisks++
 	f.startController(c)
 }
@@ -136,8 +136,8 @@
 		rand.New(rand.NewPCG(f.starts, 1)), c.disk)
 	require.NoError(f.t, err)
 
-	c.withdrawals = archiver.New()
-	c.withdrawals.Load(f.now, c.withdrawalDisk)
+	c.archive = archiver.New()
+	c.archive.Load(f.now, c.archiveDisk)
 
 	c.up = true
 }
--- a/internal/fleettest/withdrawal_test.go
+++ b/internal/fleettest/withdrawal_test.go
@@ -37,8 +37,8 @@
 	}
 
 	if crashes != nil {
-		if record := c.withdrawals.MergeCrashRecords(f.now, crashes); record != nil {
-			c.withdrawalDisk = append(c.withdrawalDisk, record)
+		if record := c.archive.MergeCrashRecords(f.now, crashes); record != nil {
+			c.archiveDisk = append(c.archiveDisk, record)
 		}
 
 		return
@@ -46,15 +46,15 @@
 
 	c.withdrawalSyncs++
 
-	if stored := c.withdrawals.CrashRecords(f.now); len(r.GetWithdrawals()) == 0 && len(stored) > 0 {
+	if stored := c.archive.CrashRecords(f.now); len(r.GetWithdrawals()) == 0 && len(stored) > 0 {
 		f.net.Send(f.now, &wire.Envelope{From: c.address, To: e.GetFrom(), Body: &wire.Envelope_CrashRecords{
 			CrashRecords: &wire.CrashRecords{Records: stored},
 		}})
 	}
 
-	result := c.withdrawals.Sync(f.now, r, c.core.Voters())
+	result := c.archive.Sync(f.now, r, c.core.Voters())
 	if result.Record != nil {
-		c.withdrawalDisk = append(c.withdrawalDisk, result.Record)
+		c.archiveDisk = append(c.archiveDisk, result.Record)
 	}
 
 	if result.Complete {
@@ -314,7 +314,7 @@
 	f.net.Partition(func(string, string) bool { return false })
 	f.until(restoreBound, "the controllers store the withdrawal", func() bool {
 		for _, c := range f.controllers {
-			if len(c.withdrawals.List(f.now, n.config.Name)) == 0 {
+			if len(c.archive.List(f.now, n.config.Name)) == 0 {
 				return false
 			}
 		}
--- a/process/controlserver/withdrawals.go
+++ b/process/controlserver/archive.go
@@ -14,25 +14,25 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
-// maxQueuedSyncs bounds the requests of nodes that wait for the disk; nodes repeat those that are dropped.
+// maxQueuedSyncs bounds the messages of nodes that wait for the disk; nodes repeat withdrawals that are dropped.
 const maxQueuedSyncs = 4096
 
-// withdrawalFile is the file of withdrawals on the controller's disk. After a failure, only Replace makes it usable again.
-type withdrawalFile interface {
-	Append(records []*wire.WithdrawalRecord) error
-	Replace(records []*wire.WithdrawalRecord) error
+// archiveFile is the file of withdrawals and crash records on the controller's disk. After a failure, only Replace makes it usable again.
+type archiveFile interface {
+	Append(records []*wire.ArchiveRecord) error
+	Replace(records []*wire.ArchiveRecord) error
 	// IsLarge reports whether the file should be replaced.
 	IsLarge() bool
 	Close() error
 }
 
-var _ withdrawalFile = (*journaler.WithdrawalLog)(nil)
+var _ archiveFile = (*journaler.ArchiveLog)(nil)
 
-// withdrawalKeeper stores the withdrawals and crash records that nodes send, and replies to withdrawals once they are durable. It has a file and a
+// archiveKeeper stores the withdrawals and crash records that nodes send, and replies to withdrawals once they are durable. It has a file and a
 // goroutine of its own, so that neither delays the replicated log; the messages that arrive during one sync share the next.
-type withdrawalKeeper struct {
+type archiveKeeper struct {
 	core     *archiver.Core
-	file     withdrawalFile
+	file     archiveFile
 	clock    tiller.Clock
 	requests chan *wire.Envelope
 	// voters returns the addresses of the voting controllers.
@@ -40,30 +40,30 @@
 	send   func(envelopes ...*wire.Envelope)
 	log    logr.Logger
 	synced metrics.Timer
-	// stale is set while the file may lack withdrawals of the core.
+	// stale is set while the file may lack records of the core.
 	stale bool
 }
 
-// newWithdrawalKeeper returns a keeper with the withdrawals in a data folder. A file that cannot be opened now is tried again with the next
+// newArchiveKeeper returns a keeper with the records in a data folder. A file that cannot be opened now is tried again with the next
 // request.
-func newWithdrawalKeeper(folder string, clock tiller.Clock, log logr.Logger, registry metrics.Registry) *withdrawalKeeper {
-	file, records, err := journaler.OpenWithdrawalLog(folder)
-	k := &withdrawalKeeper{
+func newArchiveKeeper(folder string, clock tiller.Clock, log logr.Logger, registry metrics.Registry) *archiveKeeper {
+	file, records, err := journaler.OpenArchiveLog(folder)
+	k := &archiveKeeper{
 		core: archiver.New(), file: file, clock: clock, requests: make(chan *wire.Envelope, maxQueuedSyncs), log: log,
-		synced: metrics.GetOrRegisterTimer("withdrawals.sync", registry), stale: err != nil,
+		synced: metrics.GetOrRegisterTimer("archive.sync", registry), stale: err != nil,
 	}
 
 	k.core.Load(clock.Now(), records)
 
 	if err != nil {
-		log.Error(err, "withdrawals cannot be stored now")
+		log.Error(err, "archive cannot be written now")
 	}
 
 	return k
 }
 
 // receive queues a request without waiting.
-func (k *withdrawalKeeper) receive(e *wire.Envelope) {
+func (k *archiveKeeper) receive(e *wire.Envelope) {
 	select {
 	case k.requests <- e:
 	default:
@@ -71,8 +71,8 @@
 }
 
 // part returns the part of the process that serves the requests.
-func (k *withdrawalKeeper) part() runner.Part {
-	return runner.NewPart("withdrawals", func(ctx context.Context) error {
+func (k *archiveKeeper) part() runner.Part {
+	return runner.NewPart("archive", func(ctx context.Context) error {
 		for {
 			select {
 			case <-ctx.Done():
@@ -85,7 +85,7 @@
 }
 
 // batch returns a request with all that are queued behind it.
-func (k *withdrawalKeeper) batch(first *wire.Envelope) []*wire.Envelope {
+func (k *archiveKeeper) batch(first *wire.Envelope) []*wire.Envelope {
 	out := []*wire.Envelope{first}
 
 	for {
@@ -98,10 +98,10 @@
 	}
 }
 
-// serve stores the withdrawals of a batch and replies. Requests whose withdrawals could not be stored get no reply.
-func (k *withdrawalKeeper) serve(batch []*wire.Envelope) {
+// serve stores what a batch of messages adds, and replies to withdrawals. Requests whose withdrawals could not be stored get no reply.
+func (k *archiveKeeper) serve(batch []*wire.Envelope) {
 	var (
-		records []*wire.WithdrawalRecord
+		records []*wire.ArchiveRecord
 		replies []*wire.Envelope
 		recalls []*wire.Envelope
 	)
@@ -145,7 +145,7 @@
 }
 
 // crashRecords returns a message with the crash records to a node that has started, none if there are no records.
-func (k *withdrawalKeeper) crashRecords(to *wire.Envelope) []*wire.Envelope {
+func (k *archiveKeeper) crashRecords(to *wire.Envelope) []*wire.Envelope {
 	records := k.core.CrashRecords(k.clock.Now())
 	if len(records) == 0 {
 		return nil
@@ -156,8 +156,8 @@
 	}}
 }
 
-// persist makes new records durable and reports whether the file holds all withdrawals of the core.
-func (k *withdrawalKeeper) persist(records []*wire.WithdrawalRecord) bool {
+// persist makes new records durable and reports whether the file holds all records of the core.
+func (k *archiveKeeper) persist(records []*wire.ArchiveRecord) bool {
 	var err error
 
 	defer k.synced.UpdateSince(time.Now())
@@ -170,7 +170,7 @@
 	}
 
 	if err != nil && !k.stale {
-		k.log.Error(err, "withdrawals cannot be stored now")
+		k.log.Error(err, "archive cannot be written now")
 	}
 
 	k.stale = err != nil
--- a/process/controlserver/withdrawals_internal_test.go
+++ b/process/controlserver/archive_internal_test.go
@@ -12,15 +12,15 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
-// failingFile is a file of withdrawals on a disk that may fail.
+// failingFile is a archive on a disk that may fail.
 type failingFile struct {
-	withdrawalFile
+	archiveFile
 	fails bool
 	syncs int
 	nodes []string
 }
 
-func (f *failingFile) Append(records []*wire.WithdrawalRecord) error {
+func (f *failingFile) Append(records []*wire.ArchiveRecord) error {
 	if f.fails {
 		return errors.New("no space left on device")
 	}
@@ -34,7 +34,7 @@
 	return nil
 }
 
-func (f *failingFile) Replace(records []*wire.WithdrawalRecord) error {
+func (f *failingFile) Replace(records []*wire.ArchiveRecord) error {
 	if f.fails {
 		return errors.New("no space left on device")
 	}
@@ -51,7 +51,7 @@
 	t.Helper()
 
 	f := &failingFile{}
-	k := newWithdrawalKeeper(t.TempDir(), tiller.ClockFunc(func() tiller.Millis { return 1000 }), logr.Discard(), metrics.NewRegistry())
+	k := newArchiveKeeper(t.TempDir(), tiller.ClockFunc(func() tiller.Millis { return 1000 }), logr.Discard(), metrics.NewRegistry())
 	require.NoError(t, k.file.Close())
 
 	k.file = f
--- a/process/controlserver/controlserver.go
+++ b/process/controlserver/controlserver.go
@@ -64,7 +64,7 @@
 	pendingEdits map[uint64]chan *wire.ApplyReply
 	pendingReads map[uint64]chan bool
 
-	withdrawals *withdrawalKeeper
+	archive *archiveKeeper
 	// voters are the addresses of the voting controllers.
 	voters atomic.Pointer[[]string]
 
@@ -102,7 +102,7 @@
 	s.transport = transport
 	transport.SetReceiver(tiller.ReceiverFunc(s.receive))
 
-	s.openWithdrawals()
+	s.openArchive()
 
 	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", transporter.ListenAddress(settings.Address, settings.BindHost))
 	if err != nil {
@@ -123,18 +123,18 @@
 	return s, nil
 }
 
-// openWithdrawals opens the store of the nodes' withdrawals.
-func (s *Server) openWithdrawals() {
-	s.withdrawals = newWithdrawalKeeper(s.settings.DataFolder, s.clock, s.options.Log, s.options.Metrics)
-	s.withdrawals.send = s.transport.Send
-	s.withdrawals.voters = func() []string { return *s.voters.Load() }
+// openArchive opens the store of the nodes' withdrawals and crash records.
+func (s *Server) openArchive() {
+	s.archive = newArchiveKeeper(s.settings.DataFolder, s.clock, s.options.Log, s.options.Metrics)
+	s.archive.send = s.transport.Send
+	s.archive.voters = func() []string { return *s.voters.Load() }
 	s.updateVoters()
 }
 
 // receive handles a message of another process.
 func (s *Server) receive(e *wire.Envelope) {
 	if e.GetWithdrawalSync() != nil || e.GetCrashRecords() != nil {
-		s.withdrawals.receive(e)
+		s.archive.receive(e)
 
 		return
 	}
@@ -337,7 +337,7 @@
 func (s *Server) Parts() []runner.Part {
 	parts := []runner.Part{
 		runner.NewPart("journal", s.waitForStop, func(context.Context) error { return s.closeJournal() }),
-		s.withdrawals.part(),
+		s.archive.part(),
 		runner.NewPart("datagrams", s.transport.Run, s.transport.Close),
 		runner.NewHTTP("operators", s.http, s.listener),
 		runner.NewPart("timer", runner.Every(tickPeriod, s.tick), nil),
--- a/source/archiver/archiver.go
+++ b/source/archiver/archiver.go
@@ -47,7 +47,7 @@
 	// Reply may be sent once all records up to this one are durable.
 	Reply *wire.WithdrawalSyncReply
 	// Record is to be made durable, nil if the request adds nothing.
-	Record *wire.WithdrawalRecord
+	Record *wire.ArchiveRecord
 	// Complete is set if the store holds all withdrawals in the request. If not, it must not be confirmed.
 	Complete bool
 }
@@ -62,14 +62,14 @@
 
 	added, result.Complete = c.Add(reading, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
 	if added {
-		result.Record = &wire.WithdrawalRecord{Node: r.GetNode(), Withdrawals: r.GetWithdrawals()}
+		result.Record = &wire.ArchiveRecord{Node: r.GetNode(), Withdrawals: r.GetWithdrawals()}
 	}
 
 	return result
 }
 
 // Load applies records that are durable, in the order in which they were written.
-func (c *Core) Load(reading tiller.Millis, records []*wire.WithdrawalRecord) {
+func (c *Core) Load(reading tiller.Millis, records []*wire.ArchiveRecord) {
 	for _, r := range records {
 		c.Add(reading, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
 		c.MergeCrashRecords(reading, &wire.CrashRecords{Records: r.GetCrashRecords()})
@@ -117,7 +117,7 @@
 }
 
 // Records returns all withdrawals in an order of their nodes' names, and the latest crash records.
-func (c *Core) Records(reading tiller.Millis) []*wire.WithdrawalRecord {
+func (c *Core) Records(reading tiller.Millis) []*wire.ArchiveRecord {
 	c.advance(reading)
 
 	nodes := tiller.NewSet[string]()
@@ -125,15 +125,15 @@
 		nodes.Add(node)
 	}
 
-	out := make([]*wire.WithdrawalRecord, 0, len(c.nodes))
+	out := make([]*wire.ArchiveRecord, 0, len(c.nodes))
 	for _, node := range nodes.Sorted() {
 		if ws := c.List(reading, node); len(ws) > 0 {
-			out = append(out, &wire.WithdrawalRecord{Node: node, Withdrawals: detector.ToWire(ws)})
+			out = append(out, &wire.ArchiveRecord{Node: node, Withdrawals: detector.ToWire(ws)})
 		}
 	}
 
 	if crashes := c.CrashRecords(reading); len(crashes) > 0 {
-		out = append(out, &wire.WithdrawalRecord{CrashRecords: crashes})
+		out = append(out, &wire.ArchiveRecord{CrashRecords: crashes})
 	}
 
 	return out
--- a/source/archiver/archiver_test.go
+++ b/source/archiver/archiver_test.go
@@ -50,20 +50,20 @@
 
 		return out
 	}
-	merge := func(c *archiver.Core, records ...*wire.CrashRecord) *wire.WithdrawalRecord {
+	merge := func(c *archiver.Core, records ...*wire.CrashRecord) *wire.ArchiveRecord {
 		return c.MergeCrashRecords(0, &wire.CrashRecords{Records: records})
 	}
 
 	c := archiver.New()
 	require.Empty(t, c.CrashRecords(0))
 
-	disk := []*wire.WithdrawalRecord{merge(c, record("a", 1), record("b", 2))}
+	disk := []*wire.ArchiveRecord{merge(c, record("a", 1), record("b", 2))}
 	require.Nil(t, merge(c, record("a", 1), record("b", 1), record("unknown", 0)), "nothing new")
 
 	disk = append(disk, merge(c, record("a", 2)), merge(c, record("b", 0)))
 	require.Equal(t, map[string]uint32{"a": 2}, strikes(c))
 
-	for name, records := range map[string][]*wire.WithdrawalRecord{"appended": disk, "replaced": c.Records(0)} {
+	for name, records := range map[string][]*wire.ArchiveRecord{"appended": disk, "replaced": c.Records(0)} {
 		loaded := archiver.New()
 		loaded.Load(0, records)
 		require.Equal(t, strikes(c), strikes(loaded), name)
--- a/source/archiver/crashrecord.go
+++ b/source/archiver/crashrecord.go
@@ -12,7 +12,7 @@
 
 // MergeCrashRecords adds crash records where they count more strikes, and deletes those without strikes. It returns what is to be made durable, nil
 // if nothing has changed.
-func (c *Core) MergeCrashRecords(reading tiller.Millis, m *wire.CrashRecords) *wire.WithdrawalRecord {
+func (c *Core) MergeCrashRecords(reading tiller.Millis, m *wire.CrashRecords) *wire.ArchiveRecord {
 	c.advance(reading)
 
 	var changed []*wire.CrashRecord
@@ -28,7 +28,7 @@
 		return nil
 	}
 
-	return &wire.WithdrawalRecord{CrashRecords: changed}
+	return &wire.ArchiveRecord{CrashRecords: changed}
 }
 
 // mergeCrashRecord reports whether a record has changed what is stored.
--- a/source/journaler/withdrawallog.go
+++ b/source/journaler/archivelog.go
@@ -13,30 +13,31 @@
 )
 
 const (
-	withdrawalFile = "withdrawals"
-	// maxWithdrawalFileBytes is the size from which on the file is replaced by one without expired records.
-	maxWithdrawalFileBytes = 1 << 20
+	archiveFile = "archive"
+	// maxArchiveFileBytes is the size from which on the file is replaced by one without expired records.
+	maxArchiveFileBytes = 1 << 20
 )
 
-// WithdrawalLog is a controller's file of withdrawals. Every append is synced to disk. After a failure, only Replace makes it usable again.
-type WithdrawalLog struct {
+// ArchiveLog is a controller's file of withdrawals and crash records. Every append is synced to disk. After a failure, only Replace makes it
+// usable again.
+type ArchiveLog struct {
 	folder string
 	file   *os.File
 	size   int64
 }
 
-// OpenWithdrawalLog opens the file in a folder, which must exist, and returns its records up to the first that is incomplete or damaged.
-// Withdrawals matter for minutes only and other controllers store them too, so the rest is discarded. After an error the log is returned as
+// OpenArchiveLog opens the file in a folder, which must exist, and returns its records up to the first that is incomplete or damaged.
+// They matter for minutes only and other controllers store them too, so the rest is discarded. After an error the log is returned as
 // after a failure.
-func OpenWithdrawalLog(folder string) (*WithdrawalLog, []*wire.WithdrawalRecord, error) {
-	l := &WithdrawalLog{folder: folder}
+func OpenArchiveLog(folder string) (*ArchiveLog, []*wire.ArchiveRecord, error) {
+	l := &ArchiveLog{folder: folder}
 
 	data, err := os.ReadFile(l.path())
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return l, nil, eris.Wrap(err, "read withdrawals")
+		return l, nil, eris.Wrap(err, "read archive")
 	}
 
-	var records []*wire.WithdrawalRecord
+	var records []*wire.ArchiveRecord
 
 	for len(data) > 0 {
 		payload, rest, err := decodeFrame(data)
@@ -44,7 +45,7 @@
 			break
 		}
 
-		r := &wire.WithdrawalRecord{}
+		r := &wire.ArchiveRecord{}
 		if proto.Unmarshal(payload, r) != nil {
 			break
 		}
@@ -56,15 +57,15 @@
 	return l, records, l.Replace(records)
 }
 
-func (l *WithdrawalLog) path() string { return filepath.Join(l.folder, withdrawalFile) }
+func (l *ArchiveLog) path() string { return filepath.Join(l.folder, archiveFile) }
 
 // IsLarge reports whether the file should be replaced.
-func (l *WithdrawalLog) IsLarge() bool { return l.size >= maxWithdrawalFileBytes }
+func (l *ArchiveLog) IsLarge() bool { return l.size >= maxArchiveFileBytes }
 
 // Append writes records and syncs them.
-func (l *WithdrawalLog) Append(records []*wire.WithdrawalRecord) error {
+func (l *ArchiveLog) Append(records []*wire.ArchiveRecord) error {
 	if l.file == nil {
-		return eris.New("the file of withdrawals is not open")
+		return eris.New("the archive is not open")
 	}
 
 	data, err := encodeRecords(records)
@@ -73,11 +74,11 @@
 	}
 
 	if _, err := l.file.Write(data); err != nil {
-		return l.fail(err, "write withdrawals")
+		return l.fail(err, "write archive")
 	}
 
 	if err := l.file.Sync(); err != nil {
-		return l.fail(err, "sync withdrawals")
+		return l.fail(err, "sync archive")
 	}
 
 	l.size += int64(len(data))
@@ -86,12 +87,12 @@
 }
 
 // fail closes the file, since the end of its content is unknown.
-func (l *WithdrawalLog) fail(err error, what string) error {
+func (l *ArchiveLog) fail(err error, what string) error {
 	return errors.Join(eris.Wrap(err, what), l.Close())
 }
 
 // Replace replaces the content of the file.
-func (l *WithdrawalLog) Replace(records []*wire.WithdrawalRecord) error {
+func (l *ArchiveLog) Replace(records []*wire.ArchiveRecord) error {
 	data, err := encodeRecords(records)
 	if err != nil {
 		return err
@@ -103,7 +104,7 @@
 
 	f, err := os.OpenFile(l.path(), os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
-		return eris.Wrap(err, "open withdrawals")
+		return eris.Wrap(err, "open archive")
 	}
 
 	err = l.Close()
@@ -112,13 +113,13 @@
 	return err
 }
 
-func encodeRecords(records []*wire.WithdrawalRecord) ([]byte, error) {
+func encodeRecords(records []*wire.ArchiveRecord) ([]byte, error) {
 	var out bytes.Buffer
 
 	for _, r := range records {
 		payload, err := proto.Marshal(r)
 		if err != nil {
-			return nil, eris.Wrap(err, "encode withdrawals")
+			return nil, eris.Wrap(err, "encode archive")
 		}
 
 		out.Write(encodeFrame(payload))
@@ -128,7 +129,7 @@
 }
 
 // Close closes the file.
-func (l *WithdrawalLog) Close() error {
+func (l *ArchiveLog) Close() error {
 	if l.file == nil {
 		return nil
 	}
@@ -136,5 +137,5 @@
 	f := l.file
 	l.file = nil
 
-	return eris.Wrap(f.Close(), "close withdrawals")
+	return eris.Wrap(f.Close(), "close archive")
 }
--- a/source/journaler/withdrawallog_test.go
+++ b/source/journaler/archivelog_test.go
@@ -12,22 +12,22 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
-func withdrawalRecord(node string) *wire.WithdrawalRecord {
-	return &wire.WithdrawalRecord{Node: node, Withdrawals: []*wire.Withdrawal{{Instance: "i-1", StartedAt: 100, Sequence: 7}}}
+func archiveRecord(node string) *wire.ArchiveRecord {
+	return &wire.ArchiveRecord{Node: node, Withdrawals: []*wire.Withdrawal{{Instance: "i-1", StartedAt: 100, Sequence: 7}}}
 }
 
 // loadWithdrawals returns the nodes in the file, in order.
 func loadWithdrawals(t *testing.T, folder string) []string {
 	t.Helper()
 
-	l, records, err := journaler.OpenWithdrawalLog(folder)
+	l, records, err := journaler.OpenArchiveLog(folder)
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
 
 	var nodes []string
 
 	for _, r := range records {
-		require.True(t, proto.Equal(withdrawalRecord(r.GetNode()), r))
+		require.True(t, proto.Equal(archiveRecord(r.GetNode()), r))
 
 		nodes = append(nodes, r.GetNode())
 	}
@@ -35,18 +35,18 @@
 	return nodes
 }
 
-func TestWithdrawalLogAfterAPowerLoss(t *testing.T) {
+func TestArchiveLogAfterAPowerLoss(t *testing.T) {
 	const whole = 3
 
 	folder := t.TempDir()
-	path := filepath.Join(folder, "withdrawals")
+	path := filepath.Join(folder, "archive")
 
-	l, records, err := journaler.OpenWithdrawalLog(folder)
+	l, records, err := journaler.OpenArchiveLog(folder)
 	require.NoError(t, err)
 	require.Empty(t, records)
 
 	for _, node := range []string{"n1", "n2", "n3"} {
-		require.NoError(t, l.Append([]*wire.WithdrawalRecord{withdrawalRecord(node)}))
+		require.NoError(t, l.Append([]*wire.ArchiveRecord{archiveRecord(node)}))
 	}
 
 	require.NoError(t, l.Close())
@@ -71,36 +71,36 @@
 	}
 }
 
-func TestWithdrawalLogIsUsableAgainAfterAFailure(t *testing.T) {
+func TestArchiveLogIsUsableAgainAfterAFailure(t *testing.T) {
 	folder := t.TempDir()
 
-	l, _, err := journaler.OpenWithdrawalLog(folder)
+	l, _, err := journaler.OpenArchiveLog(folder)
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
-	require.Error(t, l.Append([]*wire.WithdrawalRecord{withdrawalRecord("n1")}))
+	require.Error(t, l.Append([]*wire.ArchiveRecord{archiveRecord("n1")}))
 
-	require.NoError(t, l.Replace([]*wire.WithdrawalRecord{withdrawalRecord("n1")}))
-	require.NoError(t, l.Append([]*wire.WithdrawalRecord{withdrawalRecord("n2")}))
+	require.NoError(t, l.Replace([]*wire.ArchiveRecord{archiveRecord("n1")}))
+	require.NoError(t, l.Append([]*wire.ArchiveRecord{archiveRecord("n2")}))
 	require.NoError(t, l.Close())
 	require.Equal(t, []string{"n1", "n2"}, loadWithdrawals(t, folder))
 }
 
-func TestWithdrawalLogGrowsLarge(t *testing.T) {
-	l, _, err := journaler.OpenWithdrawalLog(t.TempDir())
+func TestArchiveLogGrowsLarge(t *testing.T) {
+	l, _, err := journaler.OpenArchiveLog(t.TempDir())
 	require.NoError(t, err)
 
 	defer func() { require.NoError(t, l.Close()) }()
 
 	for range 10 {
-		var records []*wire.WithdrawalRecord
+		var records []*wire.ArchiveRecord
 		for range 8000 {
-			records = append(records, withdrawalRecord("n1"))
+			records = append(records, archiveRecord("n1"))
 		}
 
 		require.NoError(t, l.Append(records))
 	}
 
 	require.True(t, l.IsLarge())
-	require.NoError(t, l.Replace([]*wire.WithdrawalRecord{withdrawalRecord("n1")}))
+	require.NoError(t, l.Replace([]*wire.ArchiveRecord{archiveRecord("n1")}))
 	require.False(t, l.IsLarge())
 }
