Renew a stored crash record with a later crash

Change: a crash that is a minute or more later than the stored one renews the time of the record; its total stays the larger one. TestCrashRecords failed before (nothing was made durable).

--- a/source/archiver/archiver_test.go
+++ b/source/archiver/archiver_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	tiller "gitlab.com/sycamoretiller/sycamoretiller"
 	"gitlab.com/sycamoretiller/sycamoretiller/calls/quarantiner"
 	"gitlab.com/sycamoretiller/sycamoretiller/membership/detector"
 	"gitlab.com/sycamoretiller/sycamoretiller/source/archiver"
@@ -76,6 +77,13 @@
 		require.Nil(t, merge(c, r), name)
 	}
 
+	// The nodes have forgotten the first crashes, and the request crashes servers again.
+	later := 2 * tiller.Minute
+	require.NotNil(t, c.MergeCrashRecords(later, &wire.CrashRecords{Records: []*wire.CrashRecord{record("a", 1)}}))
+	require.Equal(t, uint32(2), c.CrashRecords(later)[0].GetStrikes())
+	require.Zero(t, c.CrashRecords(later)[0].GetAge())
+
+	c = archiver.New()
 	for i := range 2 * quarantiner.MaxSentRecords {
 		merge(c, record(fmt.Sprintf("d-%d", i), 1))
 	}
--- a/source/archiver/crashrecord.go
+++ b/source/archiver/crashrecord.go
@@ -7,11 +7,16 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
-// maxDigestBytes bounds the digest of a crash record.
-const maxDigestBytes = 64
+const (
+	// maxDigestBytes bounds the digest of a crash record.
+	maxDigestBytes = 64
+	// minRenewal is how much later a crash must be than the stored one to renew a record without adding strikes, so that several nodes that report
+	// the same crash do not.
+	minRenewal = tiller.Minute
+)
 
-// MergeCrashRecords adds crash records where they count more strikes, and deletes those without strikes. It returns what is to be made durable, nil
-// if nothing has changed.
+// MergeCrashRecords adds crash records where they count more strikes or later crashes, and deletes those without strikes. It returns what is to be
+// made durable, nil if nothing has changed.
 func (c *Core) MergeCrashRecords(reading tiller.Millis, m *wire.CrashRecords) *wire.ArchiveRecord {
 	c.advance(reading)
 
@@ -42,10 +47,22 @@
 		return c.crashRecords.Clear(d)
 	}
 
-	before := c.crashRecords.Strikes(d)
+	stored := c.crashRecords.Record(d)
 	c.crashRecords.Merge(c.now, r)
 
-	return c.crashRecords.Strikes(d) > before
+	if c.crashRecords.Strikes(d) > stored.Strikes() {
+		return true
+	}
+
+	// The nodes may have forgotten the earlier crashes, and count from zero.
+	at := c.now - max(tiller.Millis(r.GetAge()), 0)
+	if at < stored.At()+minRenewal {
+		return false
+	}
+
+	c.crashRecords.AddStrikes(at, d, r.GetRoute(), 0)
+
+	return true
 }
 
 // CrashRecords returns the latest crash records for a node that has started.
