--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT)
-	@set -e; for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint-$(GOLANGCI_LINT) fmt --diff ./... && $(TOOLS)/golangci-lint-$(GOLANGCI_LINT) run ./...); done
+	@set -e; for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint-$(GOLANGCI_LINT) fmt --diff ./... && $(TOOLS)/golangci-lint-$(GOLANGCI_LINT) run --allow-parallel-runners ./...); done
 
 $(TOOLS)/golangci-lint-$(GOLANGCI_LINT):
 	GOWORK=off GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT)
