--- a/internal/soak/departure_test.go
+++ b/internal/soak/departure_test.go
@@ -35,14 +35,7 @@
 		require.Eventually(t, func() bool { return b.Depart(ctx, departureBound) }, recoveryBound, pollPause)
 	}
 
-	for _, p := range f.nodes {
-		p.kill()
-	}
-
-	for _, p := range f.nodes {
-		require.NoError(t, p.start())
-	}
-
+	require.NoError(t, killAndRestart(f.nodes, 0))
 	time.Sleep(late)
 
 	for _, b := range f.backends[:leaving] {
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -150,20 +150,23 @@
 
 	down := randomDuration(r, 50*time.Millisecond, time.Second)
 
-	return fault{name: name, inject: func() error {
-		for _, p := range all {
-			p.kill()
-		}
+	return fault{name: name, inject: func() error { return killAndRestart(all, down) }}
+}
 
-		time.Sleep(down)
+// killAndRestart kills processes at once and starts them again after a time.
+func killAndRestart(all []*process, down time.Duration) error {
+	for _, p := range all {
+		p.kill()
+	}
 
-		var errs []error
-		for _, p := range all {
-			errs = append(errs, p.start())
-		}
+	time.Sleep(down)
 
-		return errors.Join(errs...)
-	}}
+	var errs []error
+	for _, p := range all {
+		errs = append(errs, p.start())
+	}
+
+	return errors.Join(errs...)
 }
 
 // tornLogFault kills a controller and appends zero bytes to its log, which a power failure during a write can leave there.
@@ -300,15 +303,7 @@
 		f.departed.Add(1)
 
 		left := time.Now()
-
-		for _, p := range killed {
-			p.kill()
-		}
-
-		var errs []error
-		for _, p := range killed {
-			errs = append(errs, p.start())
-		}
+		err := killAndRestart(killed, 0)
 
 		time.Sleep(time.Until(left.Add(late)))
 		b.AnnounceLate(ctx)
@@ -322,6 +317,6 @@
 			}
 		}
 
-		return errors.Join(errs...)
+		return err
 	}}
 }
