Decide in the archive which nodes are sent crash records

The controller and the simulated fleet each decided for themselves that a request without withdrawals comes from a node that has started, and the controller encoded up to 500 crash records again for each of them, as many times as there are nodes when all restart at once.

Change: Result.Recall states it once, the records are encoded once for a batch of requests, and the time of a record from another process is worked out in one place (CrashedAt). What is sent is the same, except that records which arrive in the batch are in all its replies.

The tests of archiver, controlserver, node, quarantiner and fleettest pass; the assertions are the same, two calls lose a wrapper message.

--- a/calls/quarantiner/message.go
+++ b/calls/quarantiner/message.go
@@ -31,9 +31,14 @@
 	return out
 }
 
+// CrashedAt returns the time of the last crash in a record of another process.
+func CrashedAt(now tiller.Millis, c *wire.CrashRecord) tiller.Millis {
+	return now - max(tiller.Millis(c.GetAge()), 0)
+}
+
 // Merge adopts a record of another process if it counts more strikes.
 func (r *Registry) Merge(now tiller.Millis, c *wire.CrashRecord) {
-	r.RaiseStrikes(now-max(tiller.Millis(c.GetAge()), 0), Digest(c.GetDigest()), c.GetRoute(), int(min(c.GetStrikes(), maxMergedStrikes)))
+	r.RaiseStrikes(CrashedAt(now, c), Digest(c.GetDigest()), c.GetRoute(), int(min(c.GetStrikes(), maxMergedStrikes)))
 }
 
 // Record returns the crash record of a request, the zero value if it has none.
--- a/internal/fleettest/withdrawal_test.go
+++ b/internal/fleettest/withdrawal_test.go
@@ -37,7 +37,7 @@
 	}
 
 	if crashes != nil {
-		if record := c.archive.MergeCrashRecords(f.now, crashes); record != nil {
+		if record := c.archive.MergeCrashRecords(f.now, crashes.GetRecords()); record != nil {
 			c.archiveDisk = append(c.archiveDisk, record)
 		}
 
@@ -46,13 +46,13 @@
 
 	c.withdrawalSyncs++
 
-	if stored := c.archive.CrashRecords(f.now); len(r.GetWithdrawals()) == 0 && len(stored) > 0 {
+	result := c.archive.Sync(f.now, r, c.core.Voters())
+	if stored := c.archive.CrashRecords(f.now); result.Recall && len(stored) > 0 {
 		f.net.Send(f.now, &wire.Envelope{From: c.address, To: e.GetFrom(), Body: &wire.Envelope_CrashRecords{
 			CrashRecords: &wire.CrashRecords{Records: stored},
 		}})
 	}
 
-	result := c.archive.Sync(f.now, r, c.core.Voters())
 	if result.Record != nil {
 		c.archiveDisk = append(c.archiveDisk, result.Record)
 	}
--- a/process/controlserver/archive.go
+++ b/process/controlserver/archive.go
@@ -110,7 +110,7 @@
 
 	for _, e := range batch {
 		if m := e.GetCrashRecords(); m != nil {
-			if record := k.core.MergeCrashRecords(k.clock.Now(), m); record != nil {
+			if record := k.core.MergeCrashRecords(k.clock.Now(), m.GetRecords()); record != nil {
 				records = append(records, record)
 			}
 
@@ -129,31 +129,40 @@
 		}})
 
 		switch {
-		case len(r.GetWithdrawals()) == 0:
+		case result.Recall:
 			recalls = append(recalls, answer...)
-			recalls = append(recalls, k.crashRecords(e)...)
 		case result.Complete:
 			replies = append(replies, answer...)
 		}
 	}
 
 	k.send(recalls...)
+	k.send(k.crashRecordsFor(recalls)...)
 
 	if (len(records) > 0 || len(replies) > 0) && k.persist(records) {
 		k.send(replies...)
 	}
 }
 
-// crashRecords returns a message with the crash records to a node that has started, none if there are no records.
-func (k *archiveKeeper) crashRecords(to *wire.Envelope) []*wire.Envelope {
+// crashRecordsFor returns a message with the crash records for each reply to a node that has started, none if there are no records.
+func (k *archiveKeeper) crashRecordsFor(recalls []*wire.Envelope) []*wire.Envelope {
+	if len(recalls) == 0 {
+		return nil
+	}
+
 	records := k.core.CrashRecords(k.clock.Now())
 	if len(records) == 0 {
 		return nil
 	}
 
-	return []*wire.Envelope{{
-		From: to.GetTo(), To: to.GetFrom(), Stream: true, Body: &wire.Envelope_CrashRecords{CrashRecords: &wire.CrashRecords{Records: records}},
-	}}
+	body := &wire.Envelope_CrashRecords{CrashRecords: &wire.CrashRecords{Records: records}}
+	out := make([]*wire.Envelope, 0, len(recalls))
+
+	for _, e := range recalls {
+		out = append(out, &wire.Envelope{From: e.GetFrom(), To: e.GetTo(), Stream: true, Body: body})
+	}
+
+	return out
 }
 
 // persist makes new records durable and reports whether the file holds all records of the core.
--- a/source/archiver/archiver.go
+++ b/source/archiver/archiver.go
@@ -50,13 +50,18 @@
 	Record *wire.ArchiveRecord
 	// Complete is set if the store holds all withdrawals in the request. If not, it must not be confirmed.
 	Complete bool
+	// Recall is set if the node only asks what is stored, as one that has started does. It is sent the crash records too.
+	Recall bool
 }
 
 // Sync adds the withdrawals in a request. The reply lists those that were stored before, and the voting controllers.
 func (c *Core) Sync(reading tiller.Millis, r *wire.WithdrawalSync, voters []string) Result {
-	result := Result{Reply: &wire.WithdrawalSyncReply{
-		Nonce: r.GetNonce(), Controllers: voters, Withdrawals: detector.ToWire(c.List(reading, r.GetNode())),
-	}}
+	result := Result{
+		Reply: &wire.WithdrawalSyncReply{
+			Nonce: r.GetNonce(), Controllers: voters, Withdrawals: detector.ToWire(c.List(reading, r.GetNode())),
+		},
+		Recall: len(r.GetWithdrawals()) == 0,
+	}
 
 	var added bool
 
@@ -72,7 +77,7 @@
 func (c *Core) Load(reading tiller.Millis, records []*wire.ArchiveRecord) {
 	for _, r := range records {
 		c.Add(reading, r.GetNode(), detector.FromWire(r.GetWithdrawals()))
-		c.MergeCrashRecords(reading, &wire.CrashRecords{Records: r.GetCrashRecords()})
+		c.MergeCrashRecords(reading, r.GetCrashRecords())
 	}
 }
 
--- a/source/archiver/archiver_test.go
+++ b/source/archiver/archiver_test.go
@@ -52,7 +52,7 @@
 		return out
 	}
 	merge := func(c *archiver.Core, records ...*wire.CrashRecord) *wire.ArchiveRecord {
-		return c.MergeCrashRecords(0, &wire.CrashRecords{Records: records})
+		return c.MergeCrashRecords(0, records)
 	}
 
 	c := archiver.New()
@@ -79,7 +79,7 @@
 
 	// The nodes have forgotten the first crashes, and the request crashes servers again.
 	later := 2 * tiller.Minute
-	require.NotNil(t, c.MergeCrashRecords(later, &wire.CrashRecords{Records: []*wire.CrashRecord{record("a", 1)}}))
+	require.NotNil(t, c.MergeCrashRecords(later, []*wire.CrashRecord{record("a", 1)}))
 	require.Equal(t, uint32(2), c.CrashRecords(later)[0].GetStrikes())
 	require.Zero(t, c.CrashRecords(later)[0].GetAge())
 
--- a/source/archiver/crashrecord.go
+++ b/source/archiver/crashrecord.go
@@ -17,12 +17,11 @@
 
 // MergeCrashRecords adds crash records where they count more strikes or later crashes, and deletes those without strikes. It returns what is to be
 // made durable, nil if nothing has changed.
-func (c *Core) MergeCrashRecords(reading tiller.Millis, m *wire.CrashRecords) *wire.ArchiveRecord {
+func (c *Core) MergeCrashRecords(reading tiller.Millis, records []*wire.CrashRecord) *wire.ArchiveRecord {
 	c.advance(reading)
 
 	var changed []*wire.CrashRecord
 
-	records := m.GetRecords()
 	for _, r := range records[:min(len(records), quarantiner.MaxSentRecords)] {
 		if c.mergeCrashRecord(r) {
 			changed = append(changed, r)
@@ -55,7 +54,7 @@
 	}
 
 	// The nodes may have forgotten the earlier crashes, and count from zero.
-	at := c.now - max(tiller.Millis(r.GetAge()), 0)
+	at := quarantiner.CrashedAt(c.now, r)
 	if at < stored.At()+minRenewal {
 		return false
 	}
