State once when a started node has recovered

The detector and the node each had a Recovered, and the node's one combined the detector's with the timeout that this already held. The node now asks whether a peer and the controllers have answered, or the time is over; the detector's own has gone. The conditions are the same.

The tests of membership, node and fleettest pass unchanged.

--- a/membership/detector/detector.go
+++ b/membership/detector/detector.go
@@ -205,7 +205,7 @@
 		c.seedAt = c.now + seedPeriod
 
 		switch {
-		case !c.Recovered():
+		case !c.contacted && !c.RecoveryTimedOut():
 			c.seedAt = c.now + recoveryPeriod
 		case len(c.localPeers()) == 0:
 			c.seedAt = c.now + ProbePeriod
--- a/membership/detector/withdrawal.go
+++ b/membership/detector/withdrawal.go
@@ -63,9 +63,6 @@
 // Withdrawals returns the withdrawals in the node's own entry.
 func (c *Core) Withdrawals() []Withdrawal { return FromWire(c.self.GetWithdrawals()) }
 
-// Recovered reports whether a peer has told the node what it remembers of the node's previous process, or whether the wait for one is over.
-func (c *Core) Recovered() bool { return c.contacted || c.RecoveryTimedOut() }
-
 // RecoveryTimedOut reports whether the wait for what others remember of the node's previous process is over.
 func (c *Core) RecoveryTimedOut() bool {
 	return c.startedAt > 0 && c.now >= c.startedAt+RecoveryTimeout
--- a/process/node/withdrawal.go
+++ b/process/node/withdrawal.go
@@ -72,7 +72,7 @@
 // Recovered reports whether the node has learnt what its peers and the controllers remember of its previous process, or has stopped waiting for
 // it.
 func (c *Core) Recovered() bool {
-	return (c.detector.Recovered() && c.synchronizer.Recalled()) || c.detector.RecoveryTimedOut()
+	return (c.detector.PeerAnswered() && c.synchronizer.Recalled()) || c.detector.RecoveryTimedOut()
 }
 
 // PeerAnswered reports whether a peer has told the node what it remembers of its previous process.
