--- a/process/nodeserver/crash_internal_test.go
+++ b/process/nodeserver/crash_internal_test.go
@@ -7,8 +7,6 @@
 	"strings"
 	"testing"
 
-	"github.com/go-logr/logr"
-	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -100,12 +98,7 @@
 func newServerOfBackend(t *testing.T, address string) *Server {
 	t.Helper()
 
-	s, err := New(Settings{
-		Name: "node-0", DataCentre: "dc0", Service: "board", Address: "127.0.0.1:0", CallAddress: "127.0.0.1:0", Controllers: []string{noController},
-		ConnectionsOptional: true, AnnounceLeaseMs: int64(tiller.Minute),
-	}, Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
-	require.NoError(t, err)
-	t.Cleanup(func() { require.NoError(t, s.Kill()) })
+	s := newIdleServer(t, 0)
 
 	document, faults := validator.Validate(tiller.DocumentSpec{
 		Services: []tiller.ServiceSpec{{Name: "board"}},
@@ -117,7 +110,7 @@
 		Name: "node-0", DataCentre: "dc0", CallAddress: "127.0.0.1:1", Service: "board", State: wire.BackendState_BACKEND_STATE_READY, Slots: 4,
 	}}))
 
-	_, err = s.Announce(context.Background(), registrar.Announcement{
+	_, err := s.Announce(context.Background(), registrar.Announcement{
 		Address: address, Service: "board", Slots: 4, State: "ready", Instance: "i-1", StartedAtMs: 100, Sequence: 1,
 	})
 	require.NoError(t, err)
--- a/process/nodeserver/leaving_internal_test.go
+++ b/process/nodeserver/leaving_internal_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"testing"
 
-	"github.com/go-logr/logr"
-	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	tiller "gitlab.com/sycamoretiller/sycamoretiller"
@@ -17,19 +15,13 @@
 func TestWaitingRequestsAreRefusedOnceTheServerHasLeft(t *testing.T) {
 	const linger = tiller.Second
 
-	s, err := New(Settings{
-		Name: "node-0", DataCentre: "dc0", Service: "board", Address: "127.0.0.1:0", CallAddress: "127.0.0.1:0", Controllers: []string{"127.0.0.1:1"},
-		ConnectionsOptional: true, AnnounceLeaseMs: int64(tiller.Minute), DrainLingerMs: int64(linger),
-	}, Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
-	require.NoError(t, err)
-
-	t.Cleanup(func() { require.NoError(t, s.Kill()) })
+	s := newIdleServer(t, linger)
 
 	now := tiller.Minute
 	s.clock = tiller.ClockFunc(func() tiller.Millis { return now })
 	s.limiter = limiter.New(limiter.NewCore(limiter.Options{Slots: 1, QueueLength: 4, QueueTimeout: tiller.Minute}), s.clock)
 
-	_, err = s.Announce(context.Background(), registrar.Announcement{
+	_, err := s.Announce(context.Background(), registrar.Announcement{
 		Address: "127.0.0.1:80", Service: "board", Slots: 1, State: "ready", Instance: "i-1", StartedAtMs: 100, Sequence: 1,
 	})
 	require.NoError(t, err)
--- a/process/nodeserver/restart_internal_test.go
+++ b/process/nodeserver/restart_internal_test.go
@@ -122,6 +122,20 @@
 // noController is an address where no controller listens.
 const noController = "127.0.0.1:1"
 
+// newIdleServer returns a node, none of whose parts run, whose backend server accepts requests for a linger after it has begun to drain.
+func newIdleServer(t *testing.T, linger tiller.Millis) *Server {
+	t.Helper()
+
+	s, err := New(Settings{
+		Name: "node-0", DataCentre: "dc0", Service: "board", Address: "127.0.0.1:0", CallAddress: "127.0.0.1:0", Controllers: []string{noController},
+		ConnectionsOptional: true, AnnounceLeaseMs: int64(tiller.Minute), DrainLingerMs: int64(linger),
+	}, Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Kill()) })
+
+	return s
+}
+
 // startNodes starts nodes in two data centres and returns them once they know each other.
 func startNodes(t *testing.T, count int, controllers ...string) []*restartable {
 	t.Helper()
@@ -243,18 +257,12 @@
 
 // TestStartedNodeWaitsBeforeItUsesItsServer guards against requests to a server in the time in which a peer may still tell that it was withdrawn.
 func TestStartedNodeWaitsBeforeItUsesItsServer(t *testing.T) {
-	s, err := New(Settings{
-		Name: "node-0", DataCentre: "dc0", Service: "board", Address: "127.0.0.1:0", CallAddress: "127.0.0.1:0", Controllers: []string{"127.0.0.1:1"},
-		ConnectionsOptional: true, AnnounceLeaseMs: int64(tiller.Minute),
-	}, Options{Log: logr.Discard(), Metrics: metrics.NewRegistry()})
-	require.NoError(t, err)
-
-	t.Cleanup(func() { require.NoError(t, s.Kill()) })
+	s := newIdleServer(t, 0)
 
 	now := tiller.Minute
 	s.clock = tiller.ClockFunc(func() tiller.Millis { return now })
 
-	_, err = s.Announce(context.Background(), registrar.Announcement{Address: "127.0.0.1:80", Service: "board", Slots: 4, State: "ready"})
+	_, err := s.Announce(context.Background(), registrar.Announcement{Address: "127.0.0.1:80", Service: "board", Slots: 4, State: "ready"})
 	require.NoError(t, err)
 	require.Equal(t, wire.BackendState_BACKEND_STATE_STARTING, s.core.Self().GetState())
 	require.Equal(t, forwarder.NewTarget("127.0.0.1:80", "", wire.BackendState_BACKEND_STATE_STARTING), (*backendServerAdapter)(s).Target())
