--- a/membership/registrar/withdrawal.go
+++ b/membership/registrar/withdrawal.go
@@ -8,6 +8,29 @@
 	"gitlab.com/sycamoretiller/sycamoretiller/wire"
 )
 
+const (
+	// maxWithdrawals bounds the withdrawals that are remembered.
+	maxWithdrawals = 32
+	// withdrawalLifetime is how long a withdrawal is remembered; late announcements are delayed by seconds.
+	withdrawalLifetime = tiller.Minute
+	// minAnnouncingSpan is how long a start that seems earlier than one that left must announce itself, without a gap as long as the lease, until
+	// it counts as a server that runs now.
+	minAnnouncingSpan = 10 * tiller.Second
+)
+
+// withdrawal is a withdrawal with this node's own bookkeeping of it.
+type withdrawal struct {
+	detector.Withdrawal
+
+	expiresAt tiller.Millis
+	// restored is set if a peer remembered the withdrawal from this node's previous process.
+	restored bool
+	// announced is set if this process has accepted an announcement of the start.
+	announced bool
+	// single is set if the withdrawal makes no earlier starts void, since one of them is known to run.
+	single bool
+}
+
 // Restore applies withdrawals that a peer remembers from this node's previous process. Their drain linger is over.
 func (c *Core) Restore(now tiller.Millis, withdrawals []detector.Withdrawal) {
 	for _, w := range withdrawals {
