Do not take a server without a start for one that is known to have ended

lastOf returned zero for an empty start before any end was recorded, against its comment, so that no request would have been blamed. No caller passes an empty start: the node reports a restart only where the previous start is known. The package's tests pass unchanged.

--- a/calls/forwarder/crash.go
+++ b/calls/forwarder/crash.go
@@ -57,7 +57,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if start != c.ended {
+	if start == "" || start != c.ended {
 		return math.MaxUint64
 	}
 
